--- /dev/null
+++ b/cmd/hemlock-edge/main.go
@@ -0,0 +1,66 @@
+// Hemlock-edge is the router on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/edge"
+	"github.com/hemlockcroft/hemlockcroft/internal/host/logs"
+	"github.com/hemlockcroft/hemlockcroft/platform"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var path string
+	var check bool
+	c := &cobra.Command{
+		Use:           "hemlock-edge",
+		Short:         "Route requests of callers on the users' platform",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := edge.LoadSettings(path)
+			if err != nil || check {
+				return err
+			}
+			return run(c.Context(), s, path)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", platform.SettingsPath(), "settings file in INI")
+	c.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	c.SetContext(context.Background())
+	return c
+}
+
+// run serves until a stop signal. The log outlives the router, so that its last
+// lines are written.
+func run(ctx context.Context, s *edge.Settings, path string) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	lines := logs.NewWriter(os.Stdout)
+	logging, endLog := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- lines.Run(logging) }()
+	log := logs.NewLogger(lines)
+	router := edge.New(s, platform.NewStore(s.Store, log), platform.Headers{}, log)
+	reload := edge.WatchReload(ctx, path, log)
+	err := router.Run(ctx)
+	stop()
+	<-reload
+	endLog()
+	<-ended
+	return err
+}
--- /dev/null
+++ b/internal/host/clock/clock.go
@@ -0,0 +1,30 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is a time since boot, including suspension.
+type Instant time.Duration
+
+// Now returns the present instant. Kernels without CLOCK_BOOTTIME fall back to
+// CLOCK_MONOTONIC.
+func Now() Instant {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// CLOCK_MONOTONIC exists on every Linux kernel.
+		_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts)
+	}
+	return Instant(ts.Nano())
+}
+
+// Since returns the time that passed since an instant.
+func Since(i Instant) time.Duration { return Now().Sub(i) }
+
+// Sub returns the time between two instants.
+func (i Instant) Sub(j Instant) time.Duration { return time.Duration(i - j) }
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
--- /dev/null
+++ b/internal/host/edge/edge.go
@@ -0,0 +1,200 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/caller/front"
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/host/rungroup"
+	"github.com/hemlockcroft/hemlockcroft/internal/operator/admin"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/authority"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/forward"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
+)
+
+const (
+	// revocationMargin is kept before the bound on revoked keys: a watch may be
+	// deaf for a second before the store's history is cut.
+	revocationMargin = 1500 * time.Millisecond
+	// memoryShare is the part of the host's memory that the heap may use before
+	// the collector works harder; the rest is for stacks and buffers.
+	memoryShare = 0.6
+	// graceMargin is left of the grace period for the end of the process.
+	graceMargin = 600 * time.Millisecond
+	// housekeepingInterval is how often state of departed upstreams is dropped.
+	housekeepingInterval = 500 * time.Millisecond
+)
+
+// Edge is one router.
+type Edge struct {
+	settings  *Settings
+	store     Store
+	log       logrus.FieldLogger
+	authority *authority.Authority
+	directory *directory.Directory
+	board     *digest.Board
+	health    *balance.Health
+	cold      *budget.Cold
+	pools     *http1.Pools
+	metrics   *admin.Metrics
+	counters  *expvar.Map
+	gateway   *forward.Gateway
+	socket    *net.UDPConn
+	leaving   context.Context
+
+	mu   sync.Mutex
+	lost map[string]bool
+}
+
+// New returns a router that is not running yet.
+func New(s *Settings, store Store, protocol forward.Protocol, log logrus.FieldLogger) *Edge {
+	e := &Edge{
+		settings: s, store: store, log: log,
+		authority: authority.New(s.Revocation - revocationMargin),
+		directory: directory.New(),
+		board:     digest.NewBoard(s.Name, uint64(time.Now().UnixNano())),
+		health:    balance.NewHealth(),
+		cold:      budget.NewCold(s.Name, s.ColdOver, s.ColdSlack),
+		pools:     http1.NewPools(),
+		metrics:   admin.NewMetrics(),
+		counters:  new(expvar.Map).Init(),
+		lost:      map[string]bool{},
+	}
+	e.gateway = forward.New(forward.Parts{
+		Protocol: protocol, Authority: e.authority, Directory: e.directory, Board: e.board, Health: e.health,
+		Retry: budget.NewRetry(s.RetryRatio, s.RetrySlack, s.RetryWindow), Cold: e.cold, Pools: e.pools,
+		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain,
+	})
+	return e
+}
+
+// Run serves until ctx is done and all requests in progress have ended.
+func (e *Edge) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.MemoryMB) * (1 << 20)))
+	e.leaving = ctx
+	address, err := net.ResolveUDPAddr("udp4", e.settings.Peers)
+	if err != nil {
+		return fmt.Errorf("address for peers: %w", err)
+	}
+	if e.socket, err = net.ListenUDP("udp4", address); err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	defer e.socket.Close()
+	// The members outlive ctx until the last request has ended.
+	g := rungroup.New(context.WithoutCancel(ctx))
+	g.Go("orders", e.followOrders)
+	g.Go("upstreams", e.followUpstreams)
+	g.Go("peers", e.register)
+	g.Go("receive digests", e.receiveDigests)
+	g.Go("send digests", e.sendDigests)
+	g.Go("housekeeping", e.housekeeping)
+	g.Go("readiness", e.serveStatus(e.settings.Readiness, http.HandlerFunc(e.ready)))
+	g.Go("metrics", e.serveStatus(e.settings.Metrics, http.HandlerFunc(e.serveMetrics)))
+	g.Go("callers", func(context.Context) error {
+		server := front.New(e.gateway, e.idleLimit)
+		defer g.Stop()
+		return server.Serve(ctx, e.settings.Callers, e.settings.Grace-graceMargin)
+	})
+	e.log.WithFields(logrus.Fields{"router": e.settings.Name, "domain": e.settings.FailureDomain}).Info("started")
+	err = g.Wait()
+	e.log.WithError(err).Info("stopped")
+	return err
+}
+
+func (e *Edge) idleLimit() time.Duration {
+	if t := e.authority.Table(); t != nil {
+		return t.Limits().IdleTimeout
+	}
+	return 0
+}
+
+// ready answers the balancer: 200 while requests can be served.
+func (e *Edge) ready(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Err() != nil || !e.authority.Serving(clock.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serveMetrics answers with all counters and histograms as JSON.
+func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	m := new(expvar.Map).Init()
+	m.Set("requests", e.metrics)
+	m.Set("counters", e.counters)
+	m.Set("store_calls", expvar.Func(func() any { return e.store.Calls() }))
+	m.Set("upstream_connections", expvar.Func(func() any { return e.pools.Dials() }))
+	m.Set("routers", expvar.Func(func() any { return len(e.board.Routers(clock.Now())) }))
+	m.Set("config_age_ms", expvar.Func(func() any { return e.authority.Age(clock.Now()).Milliseconds() }))
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may have gone; there is nobody to tell.
+	_, _ = fmt.Fprintln(w, m.String())
+}
+
+// serveStatus returns a member that serves one handler.
+func (e *Edge) serveStatus(address string, h http.Handler) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute}
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", address, err)
+		}
+		return ctx.Err()
+	}
+}
+
+// housekeeping drops what belongs to departed upstreams.
+func (e *Edge) housekeeping(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, housekeepingInterval)
+		now := clock.Now()
+		e.logChanges(e.directory.Tick(now), 0)
+		ids := e.directory.IDs()
+		e.pools.Keep(now, ids)
+		e.health.Keep(ids)
+		e.cold.Keep(ids)
+	}
+	return ctx.Err()
+}
+
+func (e *Edge) logChanges(changes []directory.Change, revision uint64) {
+	for _, c := range changes {
+		e.log.WithFields(logrus.Fields{
+			"upstream": c.ID, "change": c.What, "service": c.Entry.Service, "domain": c.Entry.FailureDomain,
+			"born": c.Entry.Born, "heartbeat": c.Entry.Heartbeat, "cold_ms": c.Entry.ColdFor.Milliseconds(), "revision": revision,
+		}).Info("upstream changed")
+	}
+}
+
+// dependency logs the loss and the return of a use of the store.
+func (e *Edge) dependency(name string, err error) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, ErrCompacted) {
+		e.counters.Add("store_"+name+"_restarted", 1)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if (err != nil) == e.lost[name] {
+		return
+	}
+	e.lost[name] = err != nil
+	entry := e.log.WithFields(logrus.Fields{"dependency": "store", "use": name, "config_age_ms": e.authority.Age(clock.Now()).Milliseconds()})
+	if err != nil {
+		entry.WithError(err).Warn("dependency lost")
+		return
+	}
+	entry.Info("dependency regained")
+}
--- /dev/null
+++ b/internal/host/edge/orders.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+const (
+	// ordersWait is how long a call waits for a change of the operators' orders.
+	// Each call that returns confirms the configuration, and two that are lost
+	// in a row fit in the time for which a confirmation holds.
+	ordersWait = 700 * time.Millisecond
+	// upstreamsWait is how long a call waits for a change of the upstreams.
+	upstreamsWait = 2 * time.Second
+	// retryPause is the pause after a failed call to the store.
+	retryPause = 150 * time.Millisecond
+)
+
+// followOrders keeps the configuration and the failure domains that are out of
+// service up to date.
+func (e *Edge) followOrders(ctx context.Context) error {
+	var revision uint64
+	for ctx.Err() == nil {
+		sent := clock.Now()
+		next, err := e.stepOrders(ctx, sent, revision)
+		e.dependency("orders", err)
+		if err != nil {
+			next = 0
+			pause(ctx, retryPause)
+		}
+		revision = next
+	}
+	return ctx.Err()
+}
+
+// stepOrders makes one call for the orders after a revision, 0 to read them
+// whole, and returns the revision that it is up to date with.
+func (e *Edge) stepOrders(ctx context.Context, sent clock.Instant, revision uint64) (uint64, error) {
+	if revision != 0 {
+		changed, at, err := e.store.AwaitOrders(ctx, revision, ordersWait)
+		if err != nil {
+			return 0, err
+		}
+		if !changed {
+			e.authority.Confirm(sent)
+			return at, nil
+		}
+		sent = clock.Now()
+	}
+	orders, at, err := e.store.Orders(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if orders.Table != nil {
+		if e.authority.Adopt(orders.Table) {
+			e.log.WithFields(logrus.Fields{
+				"config": orders.Table.Version(), "revision": at, "read_ms": clock.Since(sent).Milliseconds(),
+			}).Info("configuration in force")
+		}
+		e.authority.Confirm(sent)
+	}
+	if e.directory.SetEvacuated(orders.Evacuated) {
+		e.log.WithFields(logrus.Fields{"domains": orders.Evacuated, "revision": at}).Info("evacuated failure domains changed")
+	}
+	return at, nil
+}
+
+// followUpstreams keeps the directory up to date.
+func (e *Edge) followUpstreams(ctx context.Context) error {
+	var revision uint64
+	away := false
+	for ctx.Err() == nil {
+		next, err := e.stepUpstreams(ctx, revision, away)
+		e.dependency("upstreams", err)
+		away = err != nil && (away || !errors.Is(err, ErrCompacted))
+		if away {
+			pause(ctx, retryPause)
+		}
+		revision = next
+	}
+	return ctx.Err()
+}
+
+// stepUpstreams makes one call for the upstreams after a revision, 0 to list
+// them, and returns the revision that the directory is up to date with. away
+// tells that the store did not answer the call before.
+func (e *Edge) stepUpstreams(ctx context.Context, revision uint64, away bool) (uint64, error) {
+	if revision == 0 {
+		entries, at, err := e.store.Upstreams(ctx)
+		if err != nil {
+			return 0, err
+		}
+		now := clock.Now()
+		if away {
+			e.directory.Outage(now)
+		}
+		e.logChanges(e.directory.Replace(now, entries), at)
+		return at, nil
+	}
+	changes, at, err := e.store.AwaitUpstreams(ctx, revision, upstreamsWait)
+	if err != nil {
+		return 0, err
+	}
+	now := clock.Now()
+	for _, c := range changes {
+		if c.Entry == nil {
+			e.logChanges(e.directory.Remove(now, c.ID), at)
+		} else {
+			e.logChanges(e.directory.Put(now, *c.Entry), at)
+		}
+	}
+	return at, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/host/edge/peers.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
+)
+
+const (
+	// leaseLifetime is how long a router that died stays listed.
+	leaseLifetime = 6 * time.Second
+	// renewInterval leaves two tries before the lease ends.
+	renewInterval = 2 * time.Second
+	// digestInterval is how often counts go to peers; at 9 routers it costs
+	// about 1 KB/s each.
+	digestInterval = 200 * time.Millisecond
+)
+
+// register lists this router among the peers and reads the list.
+func (e *Edge) register(ctx context.Context) error {
+	var lease uint64
+	for ctx.Err() == nil {
+		var err error
+		lease, err = e.stepRegister(ctx, lease)
+		e.dependency("peers", err)
+		pause(ctx, renewInterval)
+	}
+	if lease != 0 {
+		// The run group's context is over; the call has its own time-out.
+		if err := e.store.Leave(context.WithoutCancel(ctx), lease); err != nil {
+			e.log.WithError(err).Warn("lease not ended, it lapses by itself")
+		}
+	}
+	return ctx.Err()
+}
+
+func (e *Edge) stepRegister(ctx context.Context, lease uint64) (uint64, error) {
+	if lease != 0 {
+		err := e.store.Renew(ctx, lease)
+		switch {
+		case errors.Is(err, ErrNoLease):
+			lease = 0
+		case err != nil:
+			return lease, err
+		}
+	}
+	if lease == 0 {
+		next, err := e.store.Lease(ctx, leaseLifetime)
+		if err != nil {
+			return 0, err
+		}
+		if err := e.store.Register(ctx, next, e.settings.Name, e.settings.Peers); err != nil {
+			return 0, err
+		}
+		lease = next
+	}
+	routers, err := e.store.Routers(ctx)
+	if err != nil {
+		return lease, err
+	}
+	if e.board.SetPeers(clock.Now(), routers) {
+		e.log.WithField("routers", len(routers)).Info("peers changed")
+	}
+	return lease, nil
+}
+
+// receiveDigests reads the counts of peers.
+func (e *Edge) receiveDigests(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = e.socket.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	buffer := make([]byte, digest.MaxDatagram+1)
+	for {
+		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			var timeout net.Error
+			if errors.As(err, &timeout) {
+				continue
+			}
+			return fmt.Errorf("receive digests: %w", err)
+		}
+		if err := e.board.Receive(clock.Now(), buffer[:n]); err != nil {
+			e.counters.Add("digests_malformed", 1)
+		}
+	}
+}
+
+// sendDigests sends this router's counts to all peers.
+func (e *Edge) sendDigests(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, digestInterval)
+		datagram := e.board.Datagram()
+		for _, a := range e.board.Addresses() {
+			to, err := netip.ParseAddrPort(a)
+			if err == nil {
+				_, err = e.socket.WriteToUDPAddrPort(datagram, to)
+			}
+			if err != nil {
+				e.counters.Add("digests_unsent", 1)
+			}
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/host/logs/writer.go
@@ -0,0 +1,96 @@
+package logs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// linesPerSecond bounds the volume; a line is about 300 bytes.
+	linesPerSecond = 400
+	// backlog is how many lines may wait for the output.
+	backlog = 1024
+)
+
+// Writer is an io.Writer that passes lines to a goroutine.
+type Writer struct {
+	out   io.Writer
+	lines chan []byte
+	left  atomic.Int64
+	lost  atomic.Int64
+}
+
+// NewWriter returns a writer to out; Run must be running for lines to appear.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, lines: make(chan []byte, backlog)}
+	w.left.Store(linesPerSecond)
+	return w
+}
+
+// Write queues one line and never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	if w.left.Add(-1) < 0 {
+		w.lost.Add(1)
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.lost.Add(1)
+	}
+	return len(line), nil
+}
+
+// Lost returns how many lines were left out so far.
+func (w *Writer) Lost() int64 { return w.lost.Load() }
+
+// Run writes the queued lines until ctx is done, then those that are left.
+func (w *Writer) Run(ctx context.Context) error {
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	var reported int64
+	for {
+		select {
+		case line := <-w.lines:
+			if _, err := w.out.Write(line); err != nil {
+				w.lost.Add(1)
+			}
+		case <-second.C:
+			w.left.Store(linesPerSecond)
+			if lost := w.lost.Load(); lost > reported {
+				// A failed write is counted again in the next second.
+				_, _ = fmt.Fprintf(w.out, "level=warning msg=\"log lines left out\" count=%d\n", lost-reported)
+				reported = lost
+			}
+		case <-ctx.Done():
+			w.flush()
+			return ctx.Err()
+		}
+	}
+}
+
+func (w *Writer) flush() {
+	for {
+		select {
+		case line := <-w.lines:
+			if _, err := w.out.Write(line); err != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+// NewLogger returns a logger of key=value lines that writes to w.
+func NewLogger(w io.Writer) *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	return l
+}
--- /dev/null
+++ b/internal/router/balance/balance.go
@@ -0,0 +1,139 @@
+package balance
+
+import (
+	"math"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
+)
+
+const (
+	// loadFactor is the multiple of the mean load above which an engine
+	// receives no affine request. The platform judges twice the mean; the
+	// margin covers the age of peers' digests.
+	loadFactor = 1.5
+	// loadSlack is added to the bound so that an idle fleet keeps affinity.
+	loadSlack = 2
+)
+
+// Candidate is one upstream that may receive a request.
+type Candidate struct {
+	ID string
+	// Load is the number of requests in progress from the whole fleet.
+	Load int
+	// Slots is how many requests the upstream runs at once.
+	Slots int
+	// Near reports whether the upstream is in the router's failure domain.
+	Near bool
+	// Suspect marks an upstream that failed lately.
+	Suspect bool
+	// Held marks an upstream that must not receive this request, since it was
+	// tried before or its cold start allows no more.
+	Held bool
+}
+
+// Choice is the outcome of a pick and the inputs that decided it.
+type Choice struct {
+	// Index is the position of the candidate, -1 if none may receive the request.
+	Index int
+	// Reason names the rule that decided: "home", "spill", "least", "suspect"
+	// or "none".
+	Reason string
+	// Bound is the highest load that an affine choice allowed, 0 if none applied.
+	Bound int
+}
+
+// none is the choice if no candidate may receive the request.
+var none = Choice{Index: -1, Reason: "none"}
+
+// Bound returns the highest load that an upstream may have after one more
+// request, given the load of all n candidates.
+func Bound(total, n int) int {
+	if n == 0 {
+		return 0
+	}
+	return int(math.Floor(loadFactor*float64(total+1)/float64(n))) + loadSlack
+}
+
+// Affine picks the first candidate in rendezvous order of the key whose load
+// is within the bound, so that all routers send equal prefixes to the same
+// engine, and to the same next one when that is full.
+func Affine(key string, candidates []Candidate) Choice {
+	usable := usable(candidates)
+	if len(usable) == 0 {
+		return none
+	}
+	total := 0
+	names := make([]string, len(usable))
+	index := map[string]int{}
+	for i, c := range usable {
+		total += candidates[c].Load
+		names[i] = candidates[c].ID
+		index[names[i]] = c
+	}
+	bound := Bound(total, len(usable))
+	for rank, name := range place.Order(place.Key(key), names) {
+		if candidates[index[name]].Load+1 <= bound {
+			reason := "home"
+			if rank > 0 {
+				reason = "spill"
+			}
+			return Choice{Index: index[name], Reason: reason, Bound: bound}
+		}
+	}
+	c := least(candidates, usable, 0)
+	c.Bound = bound
+	return c
+}
+
+// Least picks the candidate with the smallest load for each slot, the near
+// ones first among equals, then by tie.
+func Least(tie uint64, candidates []Candidate) Choice {
+	usable := usable(candidates)
+	if len(usable) == 0 {
+		return none
+	}
+	return least(candidates, usable, tie)
+}
+
+// usable returns the positions of the candidates that may receive the request:
+// the healthy ones, or the suspect ones if there are no others.
+func usable(candidates []Candidate) []int {
+	var healthy, suspect []int
+	for i, c := range candidates {
+		switch {
+		case c.Held:
+		case c.Suspect:
+			suspect = append(suspect, i)
+		default:
+			healthy = append(healthy, i)
+		}
+	}
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return suspect
+}
+
+func least(candidates []Candidate, usable []int, tie uint64) Choice {
+	best := -1
+	start := int(tie % uint64(len(usable)))
+	for i := range usable {
+		c := usable[(start+i)%len(usable)]
+		if best < 0 || lighter(candidates[c], candidates[best]) {
+			best = c
+		}
+	}
+	reason := "least"
+	if candidates[best].Suspect {
+		reason = "suspect"
+	}
+	return Choice{Index: best, Reason: reason}
+}
+
+func lighter(a, b Candidate) bool {
+	x, y := a.Load*max(1, b.Slots), b.Load*max(1, a.Slots)
+	if x != y {
+		return x < y
+	}
+	return a.Near && !b.Near
+}
--- /dev/null
+++ b/internal/router/budget/cold.go
@@ -0,0 +1,80 @@
+package budget
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
+)
+
+// coldWindow is the span in which an upstream in cold start bears its rate.
+const coldWindow = time.Second
+
+// coldMargin widens the window by the time a request may spend between the
+// decision and its arrival.
+const coldMargin = 100 * time.Millisecond
+
+// Cold limits the requests to upstreams in cold start. Its methods are safe
+// for concurrent use.
+type Cold struct {
+	mu    sync.Mutex
+	self  string
+	over  float64
+	slack float64
+	sent  map[string][]clock.Instant
+}
+
+// NewCold returns a limit: the fleet may send over times the rate of an
+// upstream, and slack more, in each second. self is this router's name.
+func NewCold(self string, over, slack float64) *Cold {
+	return &Cold{self: self, over: over, slack: slack, sent: map[string][]clock.Instant{}}
+}
+
+// Allow reports whether this router may send one more request to an upstream
+// that bears rate requests a second in cold start, and counts it if so. routers
+// are the names of all live routers.
+func (c *Cold) Allow(now clock.Instant, upstream string, rate float64, routers []string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recent := slices.DeleteFunc(c.sent[upstream], func(t clock.Instant) bool {
+		return now.Sub(t) > coldWindow+coldMargin
+	})
+	allowed := len(recent) < c.share(upstream, rate, routers)
+	if allowed {
+		recent = append(recent, now)
+	}
+	c.sent[upstream] = recent
+	return allowed
+}
+
+// Keep forgets all upstreams that are not listed.
+func (c *Cold) Keep(upstreams []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := map[string][]clock.Instant{}
+	for _, id := range upstreams {
+		if sent, ok := c.sent[id]; ok {
+			kept[id] = sent
+		}
+	}
+	c.sent = kept
+}
+
+// share returns how many requests a second this router may send. Where there
+// are more routers than requests, the first ones in rendezvous order of the
+// upstream may send one each.
+func (c *Cold) share(upstream string, rate float64, routers []string) int {
+	total := int(math.Floor(spare * (rate*c.over + c.slack)))
+	n := max(1, len(routers))
+	if total >= n {
+		return total / n
+	}
+	first := place.Order(place.Key(upstream), routers)
+	if slices.Contains(first[:min(total, len(first))], c.self) {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/router/directory/directory.go
@@ -0,0 +1,247 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+// returnGrace is how long an upstream that vanished during an outage of the
+// platform's store may take to register again after the store's return. The
+// platform promises about two seconds.
+const returnGrace = 2200 * time.Millisecond
+
+// Entry is one upstream as it registered itself.
+type Entry struct {
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	Slots         int
+	Leaving       bool
+	// ColdFor is how much longer the upstream is in cold start.
+	ColdFor time.Duration
+	// Heartbeat counts the registrations of one incarnation.
+	Heartbeat uint64
+	// Born identifies the incarnation by its start in Unix milliseconds, 0 if unknown.
+	Born int64
+}
+
+// Upstream is an immutable snapshot of one upstream.
+type Upstream struct {
+	entry     Entry
+	coldUntil clock.Instant
+	vanished  clock.Instant
+}
+
+// ID returns the upstream's identity, which changes with most restarts.
+func (u *Upstream) ID() string { return u.entry.ID }
+
+// Born returns the incarnation, the Unix millisecond of the start.
+func (u *Upstream) Born() int64 { return u.entry.Born }
+
+// Address returns where the upstream listens, as IP:PORT.
+func (u *Upstream) Address() string { return u.entry.Address }
+
+// FailureDomain returns where the upstream runs.
+func (u *Upstream) FailureDomain() string { return u.entry.FailureDomain }
+
+// Slots returns how many requests the upstream runs at once.
+func (u *Upstream) Slots() int { return u.entry.Slots }
+
+// Service returns the service that the upstream belongs to.
+func (u *Upstream) Service() string { return u.entry.Service }
+
+// Cold reports whether the upstream is in cold start.
+func (u *Upstream) Cold(now clock.Instant) bool { return now < u.coldUntil }
+
+// Change is one difference between two states of the directory, for the log.
+type Change struct {
+	ID    string
+	What  string
+	Entry Entry
+}
+
+// Directory is safe for concurrent use.
+type Directory struct {
+	mu          sync.RWMutex
+	upstreams   map[string]*Upstream
+	services    map[string][]*Upstream
+	evacuated   map[string]bool
+	// returned is when the store was last back after an outage.
+	returned clock.Instant
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{}, evacuated: map[string]bool{}}
+}
+
+// Outage notes that the store is known to have been away until now.
+func (d *Directory) Outage(now clock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.returned = now
+}
+
+// Replace applies a whole listing: entries that are missing are gone, unless
+// they may still return after an outage of the store.
+func (d *Directory) Replace(now clock.Instant, entries []Entry) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	present := map[string]bool{}
+	for _, e := range entries {
+		present[e.ID] = true
+		changes = d.put(now, e, changes)
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
+		if !present[id] {
+			changes = d.remove(now, id, changes)
+		}
+	}
+	d.index()
+	return changes
+}
+
+// Put applies one registration.
+func (d *Directory) Put(now clock.Instant, e Entry) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := d.put(now, e, nil)
+	d.index()
+	return changes
+}
+
+// Remove applies the removal of one registration.
+func (d *Directory) Remove(now clock.Instant, id string) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := d.remove(now, id, nil)
+	d.index()
+	return changes
+}
+
+// Tick drops upstreams that did not return after an outage.
+func (d *Directory) Tick(now clock.Instant) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	for id, u := range d.upstreams {
+		if u.vanished != 0 && now.Sub(d.returned) >= returnGrace {
+			changes = d.drop(id, "gone", changes)
+		}
+	}
+	if changes != nil {
+		d.index()
+	}
+	return changes
+}
+
+// SetEvacuated replaces the set of failure domains that are out of service.
+func (d *Directory) SetEvacuated(domains map[string]bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	same := maps.Equal(d.evacuated, domains)
+	d.evacuated = domains
+	if !same {
+		d.index()
+	}
+	return !same
+}
+
+// Receiving returns the upstreams of a service that may receive new work. The
+// slice must not be changed.
+func (d *Directory) Receiving(service string) []*Upstream {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.services[service]
+}
+
+// Receives reports whether an upstream may still receive new work.
+func (d *Directory) Receives(u *Upstream) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.ContainsFunc(d.services[u.entry.Service], func(v *Upstream) bool {
+		return v.entry.ID == u.entry.ID && v.entry.Born == u.entry.Born
+	})
+}
+
+// IDs returns the identities of all known upstreams, leaving ones included.
+func (d *Directory) IDs() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Sorted(maps.Keys(d.upstreams))
+}
+
+func (d *Directory) put(now clock.Instant, e Entry, changes []Change) []Change {
+	old := d.upstreams[e.ID]
+	u := &Upstream{entry: e}
+	if e.ColdFor > 0 {
+		u.coldUntil = now.Add(e.ColdFor)
+	}
+	if old == nil {
+		d.upstreams[e.ID] = u
+		return append(changes, Change{e.ID, "new", e})
+	}
+	sameLife := old.entry.Born == e.Born
+	if e.Born < old.entry.Born || sameLife && e.Heartbeat < old.entry.Heartbeat {
+		// A delayed write of an earlier state.
+		return changes
+	}
+	if sameLife && old.entry.Leaving {
+		// Leaving is final for one incarnation.
+		u.entry.Leaving = true
+	}
+	if sameLife && e.Heartbeat == old.entry.Heartbeat {
+		u.coldUntil = old.coldUntil
+	}
+	d.upstreams[e.ID] = u
+	switch {
+	case !sameLife:
+		changes = append(changes, Change{e.ID, "restarted", u.entry})
+	case u.entry.Leaving != old.entry.Leaving:
+		changes = append(changes, Change{e.ID, "leaving", u.entry})
+	case old.vanished != 0:
+		changes = append(changes, Change{e.ID, "back", u.entry})
+	case u.Cold(now) && !old.Cold(now):
+		changes = append(changes, Change{e.ID, "cold", u.entry})
+	}
+	return changes
+}
+
+func (d *Directory) remove(now clock.Instant, id string, changes []Change) []Change {
+	u := d.upstreams[id]
+	if u == nil || u.vanished != 0 {
+		return changes
+	}
+	if !u.entry.Leaving && d.returned != 0 && now.Sub(d.returned) < returnGrace {
+		missing := *u
+		missing.vanished = now
+		d.upstreams[id] = &missing
+		return append(changes, Change{id, "missing", u.entry})
+	}
+	return d.drop(id, "gone", changes)
+}
+
+func (d *Directory) drop(id, what string, changes []Change) []Change {
+	changes = append(changes, Change{id, what, d.upstreams[id].entry})
+	delete(d.upstreams, id)
+	return changes
+}
+
+// index rebuilds the lists of receiving upstreams.
+func (d *Directory) index() {
+	services := map[string][]*Upstream{}
+	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
+		u := d.upstreams[id]
+		if u.entry.Leaving || d.evacuated[u.entry.FailureDomain] {
+			continue
+		}
+		services[u.entry.Service] = append(services[u.entry.Service], u)
+	}
+	d.services = services
+}
--- /dev/null
+++ b/internal/router/forward/attempt.go
@@ -0,0 +1,197 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/route"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/plain"
+)
+
+// maxReply bounds the answers that are read whole before they are relayed, in
+// bytes; a failed longer one breaks the caller's answer.
+const maxReply = 1 << 20
+
+// reply is a complete answer of an upstream.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// try sends the request to one upstream. It returns nil once the caller has
+// its final answer.
+func (j *job) try() error {
+	if j.remaining() < leastRemaining {
+		return verdict.New(verdict.NotRun, errNoTime)
+	}
+	u, err := j.pick()
+	if err != nil {
+		return err
+	}
+	j.tried[u.ID()] = true
+	j.upstream = u.ID()
+	if j.table.NeedsKey(j.route) && !j.Authority.Fresh(clock.Now()) {
+		return verdict.Errorf(verdict.NotRun, "configuration not confirmed")
+	}
+	j.Board.Start(u.ID())
+	defer j.Board.End(u.ID())
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	res, err := j.Pools.Of(u.ID(), u.Born(), u.Address()).Do(ctx, j.attempt(u))
+	if err != nil {
+		if verdict.Of(err) != verdict.NotRun {
+			j.sent++
+		}
+		return j.failed(u, err)
+	}
+	defer res.Close()
+	j.sent++
+	return j.answer(u, res)
+}
+
+// attempt returns the request as the upstream gets it.
+func (j *job) attempt(u *directory.Upstream) http1.Request {
+	a := Attempt{Upstream: u, Remaining: j.remaining(), Rank: j.workspace.Priority(j.route), ResumeAfter: j.lastEvent}
+	if j.workspace != nil {
+		a.Workspace = j.workspace.Name()
+	}
+	return http1.Request{
+		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
+		Header: j.Protocol.Request(j.call, a), Body: j.body, Owns: j.owns,
+		Freshness: freshness(j.route),
+	}
+}
+
+// owns reports whether an answer belongs to the request. An answer without an
+// id can only be a failure.
+func (j *job) owns(status int, h http.Header) bool {
+	a := j.Protocol.Answer(status, h)
+	return a.ID == j.call.ID || a.ID == "" && status >= http.StatusMultipleChoices
+}
+
+// failed notes a failure of the connection.
+func (j *job) failed(u *directory.Upstream, err error) error {
+	switch {
+	case j.request.Context().Err() != nil:
+		return fmt.Errorf("%w: %w", errLeft, err)
+	case j.ctx.Err() != nil:
+		j.Health.Failed(clock.Now(), u.ID())
+	case verdict.Of(err) == verdict.NotRun:
+		j.Health.Unreachable(clock.Now(), u.ID())
+	default:
+		j.Health.Failed(clock.Now(), u.ID())
+	}
+	return err
+}
+
+// answer relays an upstream's answer, or returns why another attempt is needed.
+func (j *job) answer(u *directory.Upstream, res *http1.Response) error {
+	a := j.Protocol.Answer(res.Status(), res.Header())
+	if a.OtherIncarnation || a.NotRun {
+		if a.OtherIncarnation {
+			j.Health.Unreachable(clock.Now(), u.ID())
+		}
+		// Reading the rest of the body keeps the connection usable.
+		_, _ = io.Copy(io.Discard, io.LimitReader(res, maxReply))
+		return verdict.Errorf(verdict.NotRun, "upstream %s rejected the request with status %d", u.ID(), res.Status())
+	}
+	success := res.Status() >= 200 && res.Status() < 300
+	if success && !a.Signed {
+		return j.failed(u, verdict.Errorf(verdict.Ran, "upstream %s sent an answer without signature", u.ID()))
+	}
+	if success && j.route.Kind() == route.Stream {
+		return j.stream(u, res)
+	}
+	return j.whole(u, res)
+}
+
+// whole reads a complete answer and relays it.
+func (j *job) whole(u *directory.Upstream, res *http1.Response) error {
+	body, err := io.ReadAll(io.LimitReader(res, maxReply+1))
+	if err == nil && len(body) > maxReply {
+		err = errors.New("answer exceeds the size limit")
+	}
+	if err != nil {
+		return j.failed(u, verdict.Errorf(verdict.Ran, "read answer of %s: %w", u.ID(), err))
+	}
+	r := &reply{status: res.Status(), header: plain.EndToEnd(res.Header()), body: body}
+	if res.Status() >= 500 && j.route.MayRepeat() {
+		j.held = r
+		return j.failed(u, verdict.Errorf(verdict.Ran, "upstream %s answered %d", u.ID(), res.Status()))
+	}
+	if res.Status() < 500 {
+		j.Health.OK(u.ID())
+	}
+	if j.begun {
+		return verdict.Errorf(verdict.Ran, "upstream %s answered the resumption with %d", u.ID(), res.Status())
+	}
+	j.relay(r)
+	return nil
+}
+
+// relay sends a complete answer to the caller.
+func (j *job) relay(r *reply) {
+	copyHeader(j.writer.Header(), r.header)
+	j.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	j.status = r.status
+	j.writer.WriteHeader(r.status)
+	if _, err := j.writer.Write(r.body); err != nil {
+		j.failure = fmt.Errorf("send answer: %w", err)
+	}
+}
+
+// stream relays the events of a stream as they come. The header goes out with
+// the first event, so that an attempt without one may be repeated.
+func (j *job) stream(u *directory.Upstream, res *http1.Response) error {
+	flusher := http.NewResponseController(j.writer)
+	events := http1.NewEvents(res)
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			j.Health.OK(u.ID())
+			j.begin(res)
+			return nil
+		}
+		if err != nil {
+			return j.failed(u, verdict.Errorf(verdict.Ran, "stream of %s broke after event %q: %w", u.ID(), j.lastEvent, err))
+		}
+		j.begin(res)
+		if e.ID() != "" {
+			j.lastEvent = e.ID()
+		}
+		if _, err := j.writer.Write(e.Raw()); err != nil {
+			return verdict.Errorf(verdict.Ran, "%w: %w", errLeft, err)
+		}
+		if err := flusher.Flush(); err != nil {
+			return verdict.Errorf(verdict.Ran, "%w: %w", errLeft, err)
+		}
+	}
+}
+
+// begin sends the header of a stream once; a resumed stream keeps the first.
+func (j *job) begin(res *http1.Response) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	j.firstEvent = clock.Since(j.arrived)
+	copyHeader(j.writer.Header(), plain.EndToEnd(res.Header()))
+	j.writer.Header().Del("Content-Length")
+	j.status = res.Status()
+	j.writer.WriteHeader(res.Status())
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/internal/router/forward/call.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+)
+
+// Call is what a caller's request says beside its method, target and body.
+type Call struct {
+	// ID identifies the request at the caller and the upstream.
+	ID string
+	// Key is the API key, empty if there is none.
+	Key string
+	// Patience is how long the caller waits, 0 if it does not say.
+	Patience time.Duration
+	// Affinity names the longest part of the prompt that other requests share,
+	// empty if there is none.
+	Affinity string
+	// PromptTokens and OutputTokens are the sizes that the caller declares.
+	PromptTokens, OutputTokens int
+	// Header holds the fields that are passed on unchanged.
+	Header http.Header
+}
+
+// Attempt is one sending of a call to an upstream.
+type Attempt struct {
+	// Upstream must serve the request; others reject it.
+	Upstream *directory.Upstream
+	// Workspace is the name of the caller's workspace, empty without keys.
+	Workspace string
+	// Remaining is how long the caller still waits.
+	Remaining time.Duration
+	// Rank is the priority, 0 for the most urgent.
+	Rank int
+	// ResumeAfter is the id of the last event that was relayed, empty unless
+	// the attempt resumes a stream.
+	ResumeAfter string
+}
+
+// Answer is what the header of an upstream's answer says.
+type Answer struct {
+	// ID is the request that the answer belongs to, empty if it does not say.
+	ID string
+	// Signed reports whether the answer carries the upstream's signature.
+	Signed bool
+	// NotRun reports whether the upstream states that it did not run the request.
+	NotRun bool
+	// OtherIncarnation reports whether another upstream has the address.
+	OtherIncarnation bool
+}
+
+// Protocol translates between a wire protocol and the types of this package.
+type Protocol interface {
+	// Call reads the header of a caller's request.
+	Call(h http.Header) Call
+	// Request returns the header of an attempt.
+	Request(c Call, a Attempt) http.Header
+	// Answer reads the header of an upstream's answer.
+	Answer(status int, h http.Header) Answer
+	// Echo adds the request's id to an answer of the router's own.
+	Echo(h http.Header, id string)
+}
--- /dev/null
+++ b/internal/router/forward/gateway.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/request/admission"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/authority"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
+)
+
+// Parts are what a Gateway works with.
+type Parts struct {
+	Protocol  Protocol
+	Authority *authority.Authority
+	Directory *directory.Directory
+	Board     *digest.Board
+	Health    *balance.Health
+	Retry     *budget.Retry
+	Cold      *budget.Cold
+	Pools     *http1.Pools
+	Observer  admission.Observer
+	Log       logrus.FieldLogger
+	// FailureDomain is where this router runs.
+	FailureDomain string
+}
+
+// Gateway serves requests of callers.
+type Gateway struct{ Parts }
+
+// New returns a gateway made of parts.
+func New(p Parts) *Gateway { return &Gateway{p} }
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := g.open(w, r)
+	defer j.close()
+	if !j.admit() {
+		return
+	}
+	j.run()
+}
+
+// open reads the header of a request.
+func (g *Gateway) open(w http.ResponseWriter, r *http.Request) *job {
+	return &job{
+		Gateway: g, writer: w, request: r,
+		call: g.Protocol.Call(r.Header), arrived: clock.Now(), start: time.Now(),
+		tried: map[string]bool{}, table: g.Authority.Table(),
+	}
+}
--- /dev/null
+++ b/internal/router/forward/pick.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
+)
+
+// pick returns the upstream of the next attempt.
+func (j *job) pick() (*directory.Upstream, error) {
+	if j.service == nil {
+		return nil, verdict.New(verdict.NotRun, errNoUpstream)
+	}
+	now := clock.Now()
+	upstreams := j.Directory.Receiving(j.serviceName)
+	candidates := j.candidates(now, upstreams)
+	for {
+		c := j.choose(candidates)
+		if c.Index < 0 {
+			return nil, verdict.New(verdict.NotRun, errNoUpstream)
+		}
+		u := upstreams[c.Index]
+		cold := u.Cold(now) && j.service.ColdRate() > 0
+		if cold && !j.Cold.Allow(now, u.ID(), j.service.ColdRate(), j.Board.Routers(now)) {
+			candidates[c.Index].Held = true
+			continue
+		}
+		j.log().WithFields(logrus.Fields{
+			"upstream": u.ID(), "reason": c.Reason, "load": candidates[c.Index].Load, "bound": c.Bound,
+			"candidates": len(candidates), "cold": cold, "affinity": j.call.Affinity, "attempt": j.sent + 1,
+			"left_ms": j.remaining().Milliseconds(),
+		}).Info("picked")
+		return u, nil
+	}
+}
+
+func (j *job) choose(candidates []balance.Candidate) balance.Choice {
+	if j.route.Affine() && j.call.Affinity != "" {
+		return balance.Affine(j.call.Affinity, candidates)
+	}
+	return balance.Least(place.Key(j.call.ID), candidates)
+}
+
+func (j *job) candidates(now clock.Instant, upstreams []*directory.Upstream) []balance.Candidate {
+	ids := make([]string, len(upstreams))
+	for i, u := range upstreams {
+		ids[i] = u.ID()
+	}
+	loads := j.Board.Loads(now, ids)
+	list := make([]balance.Candidate, len(upstreams))
+	for i, u := range upstreams {
+		list[i] = balance.Candidate{
+			ID: u.ID(), Load: loads[i], Slots: u.Slots(), Near: u.FailureDomain() == j.FailureDomain,
+			Suspect: j.Health.Suspect(now, u.ID()), Held: j.tried[u.ID()],
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/upstream/http1/exchange.go
@@ -0,0 +1,208 @@
+package http1
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+)
+
+const (
+	// maxStray bounds the answers to other requests that are skipped on one
+	// connection before it is given up.
+	maxStray = 3
+	// inlineBody is the size up to which a body is written before the answer is
+	// read; it fits in the socket's buffer.
+	inlineBody = 16 << 10
+	// maxStrayBody bounds the body of an answer that is skipped.
+	maxStrayBody = 1 << 20
+)
+
+// errStray means that only answers to other requests came.
+var errStray = errors.New("the answers on the connection belong to other requests")
+
+// Request is one attempt of a request at an upstream.
+type Request struct {
+	Method string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Owns reports whether an answer with this header belongs to the request.
+	Owns func(status int, h http.Header) bool
+	// MaxConns bounds this router's connections to the upstream.
+	MaxConns int
+	// Freshness is the longest idle time of a connection that may be reused.
+	Freshness time.Duration
+}
+
+// Response is the answer to a request. Its body must be closed.
+type Response struct {
+	status int
+	header http.Header
+	body   io.Reader
+	length int64
+	reused bool
+
+	pool    *Pool
+	conn    *conn
+	keep    bool
+	clean   bool
+	written chan error
+	stop    func() bool
+	once    sync.Once
+}
+
+// Status returns the HTTP status.
+func (r *Response) Status() int { return r.status }
+
+// Header returns the header, which includes fields of the connection.
+func (r *Response) Header() http.Header { return r.header }
+
+// Length returns the length of the body in bytes, -1 if it is not announced.
+func (r *Response) Length() int64 { return r.length }
+
+// Reused reports whether the request went over a kept connection.
+func (r *Response) Reused() bool { return r.reused }
+
+// Read reads the body. io.EOF means that the body is complete.
+func (r *Response) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		r.clean = true
+	}
+	return n, err
+}
+
+// Close ends the use of the connection: it is kept after a complete answer and
+// closed otherwise, which cancels the request at the upstream.
+func (r *Response) Close() {
+	r.once.Do(func() {
+		intact := r.stop()
+		if intact && r.clean && r.keep && r.bodySent() {
+			r.pool.give(r.conn)
+			return
+		}
+		r.pool.drop(r.conn)
+	})
+}
+
+// bodySent reports whether the request was written whole.
+func (r *Response) bodySent() bool {
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// Do sends a request and returns when the header of its answer is read. The
+// request is cancelled with ctx, also while the body is read. Errors carry a
+// verdict.
+func (p *Pool) Do(ctx context.Context, q Request) (*Response, error) {
+	c, err := p.take(ctx, q.MaxConns, q.Freshness)
+	if err != nil {
+		return nil, err
+	}
+	past := time.Unix(1, 0)
+	// A cancelled request must not wait in a read or a write.
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	r, err := c.exchange(q)
+	if err != nil {
+		stop()
+		p.drop(c)
+		if ctx.Err() != nil {
+			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
+		}
+		return nil, verdict.Errorf(verdict.Unknown, "upstream %s, reused=%t, idle=%s: %w", p.address, c.reused, c.idleAge(), err)
+	}
+	r.pool, r.stop = p, stop
+	return r, nil
+}
+
+func (c *conn) idleAge() time.Duration {
+	if c.idleSince == 0 {
+		return 0
+	}
+	return clock.Since(c.idleSince).Round(time.Millisecond)
+}
+
+// exchange writes the request and reads the header of the answer to it.
+func (c *conn) exchange(q Request) (*Response, error) {
+	head := q.head()
+	written := make(chan error, 1)
+	if len(q.Body) <= inlineBody {
+		_, err := c.Write(append(head, q.Body...))
+		written <- err
+		if err != nil {
+			return nil, fmt.Errorf("send request: %w", err)
+		}
+	} else {
+		// An upstream may answer before it has read a long body.
+		go func() {
+			_, err := c.Write(append(head, q.Body...))
+			written <- err
+		}()
+	}
+	for range maxStray {
+		res, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		if q.Owns(res.StatusCode, res.Header) {
+			c.idleLimit = idleLimit(res.Header)
+			return &Response{
+				status: res.StatusCode, header: res.Header, body: res.Body, length: res.ContentLength,
+				reused: c.reused, conn: c, keep: !res.Close && c.idleLimit > 0, written: written,
+			}, nil
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBody)); err != nil || res.Close {
+			return nil, errors.Join(errStray, err)
+		}
+	}
+	return nil, errStray
+}
+
+// head returns the request line and the header.
+func (q *Request) head() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.Method, q.Target, q.Host)
+	h := q.Header.Clone()
+	h.Del("Content-Length")
+	h.Del("Host")
+	if len(q.Body) > 0 || q.Method == http.MethodPost || q.Method == http.MethodPut || q.Method == http.MethodPatch {
+		h.Set("Content-Length", strconv.Itoa(len(q.Body)))
+	}
+	// A bytes.Buffer never fails.
+	_ = h.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// idleLimit returns how long a connection may stay unused after an answer.
+func idleLimit(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+			return time.Duration(s)*time.Second - idleMargin
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/upstream/http1/pools.go
@@ -0,0 +1,66 @@
+package http1
+
+import (
+	"sync"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+// life identifies one incarnation of an upstream.
+type life struct {
+	id      string
+	born    int64
+	address string
+}
+
+// Pools keeps a pool for each incarnation of an upstream, so that connections
+// never outlive the upstream that they were made to.
+type Pools struct {
+	mu    sync.Mutex
+	pools map[life]*Pool
+	dials int64
+}
+
+// NewPools returns a set without pools.
+func NewPools() *Pools { return &Pools{pools: map[life]*Pool{}} }
+
+// Of returns the pool of an incarnation.
+func (p *Pools) Of(id string, born int64, address string) *Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := life{id, born, address}
+	if p.pools[key] == nil {
+		p.pools[key] = NewPool(address)
+	}
+	return p.pools[key]
+}
+
+// Keep prunes all pools and closes those of upstreams that are not listed.
+func (p *Pools) Keep(now clock.Instant, ids []string) {
+	listed := map[string]bool{}
+	for _, id := range ids {
+		listed[id] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, pool := range p.pools {
+		if listed[key.id] {
+			pool.Prune(now)
+			continue
+		}
+		pool.Close()
+		p.dials += pool.Dials()
+		delete(p.pools, key)
+	}
+}
+
+// Dials returns how many connections were made so far.
+func (p *Pools) Dials() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := p.dials
+	for _, pool := range p.pools {
+		total += pool.Dials()
+	}
+	return total
+}
