Close callers' connections between requests only

Ruled out: the grace period (the requests were 0.1 s old). Change: a connection wrapper that is closed only while no byte of a request was handed on, and the listener stays open until the last connection ends.

--- a/internal/caller/front/server.go
+++ b/internal/caller/front/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,44 +22,54 @@
 	balancerLag = 2200 * time.Millisecond
 	// sweepInterval is how often idle connections are checked against the limit.
 	sweepInterval = 500 * time.Millisecond
+	// stopInterval is how often a stopping server looks for idle connections.
+	stopInterval = 20 * time.Millisecond
 )
 
+// errCutOff means that requests were still in progress at the end of the grace
+// period.
+var errCutOff = errors.New("requests were cut off at the end of the grace period")
+
 // Server serves callers on one address.
 type Server struct {
 	handler http.Handler
 	// idleLimit returns how long a connection may stay idle, 0 for no limit.
 	idleLimit func() time.Duration
+	closing   atomic.Bool
 
-	mu    sync.Mutex
-	idle  map[net.Conn]time.Time
-	count int
+	mu sync.Mutex
+	// since is when each connection became idle, zero while it is in use.
+	since map[*conn]time.Time
 }
 
 // New returns a server.
 func New(handler http.Handler, idleLimit func() time.Duration) *Server {
-	return &Server{handler: handler, idleLimit: idleLimit, idle: map[net.Conn]time.Time{}}
+	return &Server{handler: handler, idleLimit: idleLimit, since: map[*conn]time.Time{}}
 }
 
-// Connections returns the number of open connections.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.count
+// ServeHTTP serves a request; a closing server asks the caller to go elsewhere.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.handler.ServeHTTP(w, r)
 }
 
 // Serve serves until leaving is done, then goes on for the lag of the balancer,
 // finishes the requests in progress and returns. Requests that last longer than
 // grace are broken off.
 func (s *Server) Serve(leaving context.Context, address string, grace time.Duration) error {
-	listener, err := net.Listen("tcp4", address)
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	h := &http.Server{
-		Handler: s.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track,
-	}
+	return s.serve(leaving, l, grace)
+}
+
+func (s *Server) serve(leaving context.Context, l net.Listener, grace time.Duration) error {
+	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
 	ended := make(chan error, 1)
-	go func() { ended <- h.Serve(listener) }()
+	go func() { ended <- h.Serve(listener{l}) }()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for {
@@ -66,58 +77,78 @@
 		case err := <-ended:
 			return fmt.Errorf("serve callers: %w", err)
 		case <-sweep.C:
-			s.closeIdle(time.Now())
+			if limit := s.idleLimit(); limit > 0 {
+				s.closeIdle(time.Now().Add(-limit))
+			}
 		case <-leaving.Done():
-			return s.stop(h, ended, grace)
+			err := s.stop(grace)
+			return errors.Join(err, h.Close(), ignoreClosed(<-ended))
 		}
 	}
 }
 
-// stop ends the server; ended is where its goroutine reports.
-func (s *Server) stop(h *http.Server, ended <-chan error, grace time.Duration) error {
-	time.Sleep(min(balancerLag, grace/2))
-	ctx, cancel := context.WithTimeout(context.Background(), grace-min(balancerLag, grace/2))
-	defer cancel()
-	h.SetKeepAlivesEnabled(false)
-	err := h.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, h.Close())
-	}
-	if end := <-ended; !errors.Is(end, http.ErrServerClosed) {
-		err = errors.Join(err, end)
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
 	return err
 }
 
-// track keeps the connections that wait for a request.
-func (s *Server) track(c net.Conn, state http.ConnState) {
+// stop closes the connections between requests until none is left. The
+// listener stays open, since the balancer may have no other router to send to.
+func (s *Server) stop(grace time.Duration) error {
+	end := time.Now().Add(grace)
+	time.Sleep(min(balancerLag, grace/2))
+	s.closing.Store(true)
+	for {
+		now := time.Now()
+		if s.closeIdle(now) == 0 {
+			return nil
+		}
+		if now.After(end) {
+			return errCutOff
+		}
+		time.Sleep(stopInterval)
+	}
+}
+
+// track keeps the connections and when they became idle.
+func (s *Server) track(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
-	case http.StateNew:
-		s.count++
 	case http.StateIdle:
-		s.idle[c] = time.Now()
-		return
+		c.setIdle()
+		s.since[c] = time.Now()
+	case http.StateNew:
+		s.since[c] = time.Now()
+	case http.StateActive:
+		s.since[c] = time.Time{}
 	case http.StateClosed, http.StateHijacked:
-		s.count--
+		delete(s.since, c)
 	}
-	delete(s.idle, c)
 }
 
-// closeIdle closes connections that are idle for longer than the limit.
-func (s *Server) closeIdle(now time.Time) {
-	limit := s.idleLimit()
-	if limit <= 0 {
-		return
-	}
+// closeIdle closes the connections that have been idle since before, and
+// returns how many are left.
+func (s *Server) closeIdle(before time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, since := range s.idle {
-		if now.Sub(since) > limit {
-			delete(s.idle, c)
-			// The caller may have closed it at the same moment.
-			_ = c.Close()
+	for c, since := range s.since {
+		if !since.IsZero() && since.Before(before) && c.retire() {
+			delete(s.since, c)
 		}
 	}
+	return len(s.since)
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.since)
 }
--- /dev/null
+++ b/internal/caller/front/server_test.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestCloseBetweenRequests guards against a close that cuts off a request which
+// the server has just read: whatever reached the handler must be answered.
+func TestCloseBetweenRequests(t *testing.T) {
+	var handled atomic.Int64
+	s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		time.Sleep(time.Millisecond)
+		_, _ = fmt.Fprint(w, "done")
+	}), func() time.Duration { return time.Hour })
+	address, stop := start(t, s, time.Second)
+	defer stop()
+	for i := range 300 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(c)
+		exchange(t, c, reader)
+		before := handled.Load()
+		sent := make(chan error, 1)
+		go func() {
+			time.Sleep(time.Duration(i%30) * 5 * time.Microsecond)
+			_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			sent <- err
+		}()
+		time.Sleep(time.Duration(i%20) * 10 * time.Microsecond)
+		s.closeIdle(time.Now().Add(time.Second))
+		// The server may close first; then the request was not read.
+		_ = <-sent
+		err = readAnswer(reader)
+		if err != nil && handled.Load() > before {
+			t.Fatalf("round %d: the request reached the handler and got no answer: %v", i, err)
+		}
+		c.Close()
+	}
+}
+
+// TestStop guards against a stop that cuts off a request in progress, and one
+// that waits for connections without a request.
+func TestStop(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		begun <- struct{}{}
+		time.Sleep(400 * time.Millisecond)
+		_, _ = fmt.Fprint(w, "done")
+	}), func() time.Duration { return time.Hour })
+	address, stop := start(t, s, 800*time.Millisecond)
+	unused, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unused.Close()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		if err == nil {
+			err = readAnswer(bufio.NewReader(c))
+		}
+		answered <- err
+	}()
+	<-begun
+	if err := stop(); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	if err := <-answered; err != nil {
+		t.Errorf("the request in progress got no answer: %v", err)
+	}
+}
+
+func start(t *testing.T, s *Server, grace time.Duration) (address string, stop func() error) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.serve(ctx, l, grace) }()
+	return l.Addr().String(), func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+func exchange(t *testing.T, c net.Conn, reader *bufio.Reader) {
+	t.Helper()
+	if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := readAnswer(reader); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Microsecond)
+}
+
+func readAnswer(reader *bufio.Reader) error {
+	res, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
