Copy prompt parts between engines, and confirm the store's state among routers

Change: routers remember which engines read which shared parts, tell each other in their digests, and name a source when they pick an engine that lacks them. Two routers follow each topic in the store; the others take their confirmation, aged from an echoed instant of their own clock, and read the store for a change or when told nothing. The load bound is 1.6 times the mean plus 2.5.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/forward"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
 )
 
@@ -30,6 +31,9 @@
 	// revocationMargin is kept before the bound on revoked keys: a watch may be
 	// deaf for a second before the store's history is cut.
 	revocationMargin = 1500 * time.Millisecond
+	// askShare is the part of the time for a change to take effect after which a
+	// router that was told nothing asks the store itself.
+	askShare = 0.75
 	// memoryShare is the part of the host's memory that the heap may use before
 	// the collector works harder; the rest is for stacks and buffers.
 	memoryShare = 0.6
@@ -37,6 +41,8 @@
 	graceMargin = 600 * time.Millisecond
 	// housekeepingInterval is how often state of departed upstreams is dropped.
 	housekeepingInterval = 500 * time.Millisecond
+	// summaryInterval is how often counters are logged.
+	summaryInterval = 10 * time.Second
 )
 
 // Edge is one router.
@@ -49,10 +55,13 @@
 	board     *digest.Board
 	health    *balance.Health
 	cold      *budget.Cold
+	holders   *prefix.Holders
 	pools     *http1.Pools
 	metrics   *admin.Metrics
 	counters  *expvar.Map
 	gateway   *forward.Gateway
+	orders    *feed
+	upstreams *feed
 	socket    *net.UDPConn
 	leaving   context.Context
 
@@ -69,14 +78,17 @@
 		board:     digest.NewBoard(s.Name, uint64(time.Now().UnixNano())),
 		health:    balance.NewHealth(),
 		cold:      budget.NewCold(s.Name, s.ColdOver, s.ColdSlack),
+		holders:   prefix.New(),
 		pools:     http1.NewPools(),
 		metrics:   admin.NewMetrics(),
 		counters:  new(expvar.Map).Init(),
 		lost:      map[string]bool{},
+		orders:    newFeed(digest.Orders, time.Duration(askShare*float64(s.ConfigInForce))),
+		upstreams: newFeed(digest.Upstreams, time.Duration(askShare*float64(s.Drain))),
 	}
 	e.gateway = forward.New(forward.Parts{
 		Protocol: protocol, Authority: e.authority, Directory: e.directory, Board: e.board, Health: e.health,
-		Retry: budget.NewRetry(s.RetryRatio, s.RetrySlack, s.RetryWindow), Cold: e.cold, Pools: e.pools,
+		Retry: budget.NewRetry(s.RetryRatio, s.RetrySlack, s.RetryWindow), Cold: e.cold, Pools: e.pools, Holders: e.holders,
 		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain,
 	})
 	return e
@@ -158,9 +170,14 @@
 
 // housekeeping drops what belongs to departed upstreams.
 func (e *Edge) housekeeping(ctx context.Context) error {
+	reported := clock.Now()
 	for ctx.Err() == nil {
 		pause(ctx, housekeepingInterval)
 		now := clock.Now()
+		if now.Sub(reported) >= summaryInterval {
+			reported = now
+			e.summarize(now)
+		}
 		e.logChanges(e.directory.Tick(now), 0)
 		ids := e.directory.IDs()
 		e.pools.Keep(now, ids)
@@ -170,6 +187,15 @@
 	return ctx.Err()
 }
 
+// summarize logs counters, which tell the volume of control traffic.
+func (e *Edge) summarize(now clock.Instant) {
+	f := logrus.Fields{"routers": len(e.board.Routers(now)), "dials": e.pools.Dials()}
+	for path, n := range e.store.Calls() {
+		f["calls "+path] = n
+	}
+	e.log.WithFields(f).Info("summary")
+}
+
 func (e *Edge) logChanges(changes []directory.Change, revision uint64) {
 	for _, c := range changes {
 		e.log.WithFields(logrus.Fields{
--- /dev/null
+++ b/internal/host/edge/feed.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
+)
+
+// watchers is how many routers follow each topic in the store. The others are
+// told by them, and read the store only for a change or if told nothing.
+const watchers = 2
+
+// feedName keys the rendezvous order of the watchers of each topic, so that the
+// topics fall to different routers.
+var feedName = map[digest.Topic]string{digest.Orders: "orders", digest.Upstreams: "upstreams"}
+
+// feed is this router's knowledge of one topic.
+type feed struct {
+	topic digest.Topic
+	// patience is the age of the knowledge at which the router asks the store
+	// itself.
+	patience time.Duration
+	wake     chan struct{}
+
+	mu   sync.Mutex
+	mark digest.Mark
+	// read is when the state was last read from the store.
+	read clock.Instant
+}
+
+func newFeed(t digest.Topic, patience time.Duration) *feed {
+	return &feed{topic: t, patience: patience, wake: make(chan struct{}, 1)}
+}
+
+// set notes that a call sent at an instant showed a state with the hash.
+func (f *feed) set(m digest.Mark) digest.Mark {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mark.Hash = m.Hash
+	f.mark.Confirmed = max(f.mark.Confirmed, m.Confirmed)
+	f.read = max(f.read, m.Confirmed)
+	select {
+	case <-f.wake:
+		// The change that a peer told of meanwhile has been read.
+	default:
+	}
+	return f.mark
+}
+
+// hear takes a peer's mark and reports whether it confirms this router's state.
+// A different state that is newer wakes the follower.
+func (f *feed) hear(m digest.Mark) (confirmed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.Confirmed == 0 || f.mark.Confirmed == 0 {
+		return false
+	}
+	if m.Hash == f.mark.Hash {
+		f.mark.Confirmed = max(f.mark.Confirmed, m.Confirmed)
+		return true
+	}
+	if m.Confirmed > f.read {
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+	}
+	return false
+}
+
+// await returns once the store should be asked: at once for a watcher, and
+// otherwise for a change that a peer told of or when told nothing for long. It
+// reports whether the state must be read whole.
+func (e *Edge) await(ctx context.Context, f *feed) (whole bool) {
+	for ctx.Err() == nil {
+		if e.watches(f.topic) {
+			return false
+		}
+		f.mu.Lock()
+		left := f.patience - clock.Since(f.mark.Confirmed)
+		known := f.mark.Confirmed != 0
+		f.mu.Unlock()
+		if !known || left <= 0 {
+			e.log.WithFields(logrus.Fields{"topic": feedName[f.topic], "known": known, "overdue_ms": -left.Milliseconds()}).Info("asks store, not told in time")
+			return true
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+		case <-f.wake:
+			t.Stop()
+			e.log.WithField("topic", feedName[f.topic]).Info("asks store, told of a change")
+			return true
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return true
+}
+
+// watches reports whether this router follows a topic in the store.
+func (e *Edge) watches(t digest.Topic) bool {
+	order := place.Order(place.Key(feedName[t]), e.board.Routers(clock.Now()))
+	return slices.Contains(order[:min(watchers, len(order))], e.settings.Name)
+}
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -3,20 +3,28 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
 )
 
+// errNoConfiguration means that operators have not written one yet.
+var errNoConfiguration = errors.New("the store has no configuration")
+
 const (
 	// ordersWait is how long a call waits for a change of the operators' orders.
 	// Each call that returns confirms the configuration, and two that are lost
 	// in a row fit in the time for which a confirmation holds.
-	ordersWait = 700 * time.Millisecond
+	ordersWait = 400 * time.Millisecond
 	// upstreamsWait is how long a call waits for a change of the upstreams.
-	upstreamsWait = 2 * time.Second
+	upstreamsWait = 400 * time.Millisecond
+	// upstreamsPause gathers the heartbeats of many upstreams in one call.
+	upstreamsPause = 200 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
 	retryPause = 150 * time.Millisecond
 )
@@ -26,11 +34,12 @@
 func (e *Edge) followOrders(ctx context.Context) error {
 	var revision uint64
 	for ctx.Err() == nil {
-		sent := clock.Now()
-		next, err := e.stepOrders(ctx, sent, revision)
+		if e.await(ctx, e.orders) {
+			revision = 0
+		}
+		next, err := e.stepOrders(ctx, clock.Now(), revision)
 		e.dependency("orders", err)
 		if err != nil {
-			next = 0
 			pause(ctx, retryPause)
 		}
 		revision = next
@@ -47,7 +56,7 @@
 			return 0, err
 		}
 		if !changed {
-			e.authority.Confirm(sent)
+			e.confirmOrders(sent)
 			return at, nil
 		}
 		sent = clock.Now()
@@ -56,31 +65,50 @@
 	if err != nil {
 		return 0, err
 	}
-	if orders.Table != nil {
-		if e.authority.Adopt(orders.Table) {
-			e.log.WithFields(logrus.Fields{
-				"config": orders.Table.Version(), "revision": at, "read_ms": clock.Since(sent).Milliseconds(),
-			}).Info("configuration in force")
-		}
-		e.authority.Confirm(sent)
+	if orders.Table == nil {
+		return 0, errNoConfiguration
+	}
+	if e.authority.Adopt(orders.Table) {
+		e.log.WithFields(logrus.Fields{
+			"config": orders.Table.Version(), "revision": at, "read_ms": clock.Since(sent).Milliseconds(),
+		}).Info("configuration in force")
 	}
 	if e.directory.SetEvacuated(orders.Evacuated) {
 		e.log.WithFields(logrus.Fields{"domains": orders.Evacuated, "revision": at}).Info("evacuated failure domains changed")
 	}
+	e.confirmOrders(sent)
 	return at, nil
 }
 
+// confirmOrders notes that the present orders are the newest as of an instant.
+func (e *Edge) confirmOrders(sent clock.Instant) {
+	e.authority.Confirm(sent)
+	hash := xxhash.New()
+	// Digest.WriteString never returns an error.
+	_, _ = hash.WriteString(strconv.FormatUint(e.authority.Table().Version(), 10))
+	for _, domain := range e.directory.Evacuated() {
+		_, _ = hash.WriteString("/" + domain)
+	}
+	e.board.SetMark(digest.Orders, e.orders.set(digest.Mark{Hash: hash.Sum64(), Confirmed: sent}))
+}
+
 // followUpstreams keeps the directory up to date.
 func (e *Edge) followUpstreams(ctx context.Context) error {
 	var revision uint64
 	away := false
 	for ctx.Err() == nil {
+		if e.await(ctx, e.upstreams) {
+			revision = 0
+		}
 		next, err := e.stepUpstreams(ctx, revision, away)
 		e.dependency("upstreams", err)
 		away = err != nil && (away || !errors.Is(err, ErrCompacted))
 		if away {
 			pause(ctx, retryPause)
 		}
+		if revision != 0 && err == nil {
+			pause(ctx, upstreamsPause)
+		}
 		revision = next
 	}
 	return ctx.Err()
@@ -90,6 +118,7 @@
 // them, and returns the revision that the directory is up to date with. away
 // tells that the store did not answer the call before.
 func (e *Edge) stepUpstreams(ctx context.Context, revision uint64, away bool) (uint64, error) {
+	sent := clock.Now()
 	if revision == 0 {
 		entries, at, err := e.store.Upstreams(ctx)
 		if err != nil {
@@ -100,6 +129,7 @@
 			e.directory.Outage(now)
 		}
 		e.logChanges(e.directory.Replace(now, entries), at)
+		e.confirmUpstreams(sent)
 		return at, nil
 	}
 	changes, at, err := e.store.AwaitUpstreams(ctx, revision, upstreamsWait)
@@ -114,9 +144,15 @@
 			e.logChanges(e.directory.Put(now, *c.Entry), at)
 		}
 	}
+	e.confirmUpstreams(sent)
 	return at, nil
 }
 
+// confirmUpstreams notes that the directory is up to date as of an instant.
+func (e *Edge) confirmUpstreams(sent clock.Instant) {
+	e.board.SetMark(digest.Upstreams, e.upstreams.set(digest.Mark{Hash: e.directory.Hash(), Confirmed: sent}))
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -20,6 +20,8 @@
 	// digestInterval is how often counts go to peers; at 9 routers it costs
 	// about 1 KB/s each.
 	digestInterval = 200 * time.Millisecond
+	// peerInterval bounds a router's datagrams to 200 a second in a large fleet.
+	peerInterval = 5 * time.Millisecond
 )
 
 // register lists this router among the peers and reads the list.
@@ -87,21 +89,34 @@
 			}
 			return fmt.Errorf("receive digests: %w", err)
 		}
-		if err := e.board.Receive(clock.Now(), buffer[:n]); err != nil {
+		now := clock.Now()
+		heard, err := e.board.Receive(now, buffer[:n])
+		if err != nil {
 			e.counters.Add("digests_malformed", 1)
 		}
+		e.hear(now, heard)
+	}
+}
+
+// hear takes in what a peer tells.
+func (e *Edge) hear(now clock.Instant, h digest.Heard) {
+	for _, u := range h.Uses() {
+		e.holders.Used(now, u)
+	}
+	if m := h.Mark(digest.Orders); e.orders.hear(m) {
+		e.authority.Confirm(m.Confirmed)
 	}
+	e.upstreams.hear(h.Mark(digest.Upstreams))
 }
 
 // sendDigests sends this router's counts to all peers.
 func (e *Edge) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, digestInterval)
-		datagram := e.board.Datagram()
-		for _, a := range e.board.Addresses() {
-			to, err := netip.ParseAddrPort(a)
+		pause(ctx, max(digestInterval, time.Duration(len(e.board.Routers(clock.Now())))*peerInterval))
+		for _, l := range e.board.Letters(clock.Now()) {
+			to, err := netip.ParseAddrPort(l.Address())
 			if err == nil {
-				_, err = e.socket.WriteToUDPAddrPort(datagram, to)
+				_, err = e.socket.WriteToUDPAddrPort(l.Content(), to)
 			}
 			if err != nil {
 				e.counters.Add("digests_unsent", 1)
--- a/internal/host/edge/settings.go
+++ b/internal/host/edge/settings.go
@@ -23,7 +23,11 @@
 	MemoryMB      int
 	// Revocation is the time within which a key that was taken away must not
 	// be honoured any more.
-	Revocation  time.Duration
+	Revocation time.Duration
+	// ConfigInForce is the time within which a configuration must be in force.
+	ConfigInForce time.Duration
+	// Drain is the time within which a leaving upstream must get no more work.
+	Drain       time.Duration
 	Grace       time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
@@ -63,6 +67,8 @@
 		return err == nil && n >= 32
 	}},
 	{"bounds", "revocation", "5s", "a duration", duration(func(s *Settings) *time.Duration { return &s.Revocation })},
+	{"bounds", "config_in_force", "2s", "a duration", duration(func(s *Settings) *time.Duration { return &s.ConfigInForce })},
+	{"bounds", "drain", "2s", "a duration", duration(func(s *Settings) *time.Duration { return &s.Drain })},
 	{"bounds", "grace", "8s", "a duration", duration(func(s *Settings) *time.Duration { return &s.Grace })},
 	{"retries", "ratio", "0.1", "a number from 0", number(func(s *Settings) *float64 { return &s.RetryRatio })},
 	{"retries", "slack", "0", "a number from 0", number(func(s *Settings) *float64 { return &s.RetrySlack })},
--- a/internal/router/balance/balance.go
+++ b/internal/router/balance/balance.go
@@ -10,9 +10,9 @@
 	// loadFactor is the multiple of the mean load above which an engine
 	// receives no affine request. The platform judges twice the mean; the
 	// margin covers the age of peers' digests.
-	loadFactor = 1.5
+	loadFactor = 1.6
 	// loadSlack is added to the bound so that an idle fleet keeps affinity.
-	loadSlack = 2
+	loadSlack = 2.5
 )
 
 // Candidate is one upstream that may receive a request.
@@ -51,7 +51,7 @@
 	if n == 0 {
 		return 0
 	}
-	return int(math.Floor(loadFactor*float64(total+1)/float64(n))) + loadSlack
+	return int(math.Floor(loadFactor*float64(total+1)/float64(n) + loadSlack))
 }
 
 // Affine picks the first candidate in rendezvous order of the key whose load
--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// live in the division of fleet-wide sums. It is longer than a pause, since
 	// a router that is counted out too soon makes the others send too much.
 	peerLifetime = 6 * time.Second
+	// maxNews bounds the uses that wait for a datagram, two datagrams' worth.
+	maxNews = 128
 )
 
 // peer is another router.
@@ -27,7 +30,10 @@
 	listed  clock.Instant
 	boot    uint64
 	number  uint64
-	loads   map[uint64]int
+	// stamp is the instant in the peer's time at which it sent what was last
+	// received of it.
+	stamp uint64
+	loads map[uint64]int
 }
 
 // Board is the counts of all routers. It is safe for concurrent use.
@@ -39,6 +45,18 @@
 	number uint64
 	own    map[uint64]int
 	peers  map[string]*peer
+	news   []prefix.Use
+	marks  [topics]Mark
+}
+
+// Tell queues the use of a part of a prompt for the next datagram. Uses beyond
+// maxNews are left out; peers then compute what they could have copied.
+func (b *Board) Tell(u prefix.Use) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.news) < maxNews {
+		b.news = append(b.news, u)
+	}
 }
 
 // NewBoard returns a board; boot must grow with each start of this router.
@@ -105,18 +123,6 @@
 	return changed
 }
 
-// Addresses returns where to send this router's counts.
-func (b *Board) Addresses() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var list []string
-	for _, p := range b.peers {
-		list = append(list, p.address)
-	}
-	slices.Sort(list)
-	return list
-}
-
 // Routers returns the names of the live routers, this one included. A peer is
 // live while it is listed or heard from.
 func (b *Board) Routers(now clock.Instant) []string {
--- a/internal/router/digest/datagram.go
+++ b/internal/router/digest/datagram.go
@@ -5,62 +5,126 @@
 	"errors"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 )
 
 // MaxDatagram is the largest datagram in bytes; it fits in one packet.
 const MaxDatagram = 1400
 
-// format is the first byte of a datagram, which changes with the layout.
-const format = 1
+// format is the first byte of a datagram, which changes with the layout:
+// format, length of the name, name, boot, number, echo, sent, marks, number of
+// counts, counts, uses.
+const format = 3
 
-// rowBytes is the size of one count: the hash of the upstream and the count.
-const rowBytes = 10
+const (
+	// fixedBytes is the size of what stands between the name and the counts.
+	fixedBytes = 2*8 + 2*stampBytes + int(topics)*markBytes + 2
+	// loadBytes is the size of one count: the hash of the upstream and the count.
+	loadBytes = 10
+	// useBytes is the size of one use of a part of a prompt.
+	useBytes = 16
+)
 
 // errMalformed means that a datagram is not one of this version.
 var errMalformed = errors.New("malformed digest")
 
-// Datagram returns this router's counts: format, name, boot, number, rows.
-func (b *Board) Datagram() []byte {
+// Letter is a datagram for one peer.
+type Letter struct {
+	address string
+	content []byte
+}
+
+// Address returns the peer's IP:PORT.
+func (l Letter) Address() string { return l.address }
+
+// Content returns the bytes of the datagram, valid until the next letter of
+// the same round is read.
+func (l Letter) Content() []byte { return l.content }
+
+// Letters returns a datagram for each peer. They differ in the echo alone.
+func (b *Board) Letters(now clock.Instant) []Letter {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	head := []byte{format, byte(len(b.self))}
+	head = append(head, b.self...)
 	b.number++
-	d := []byte{format, byte(len(b.self))}
-	d = append(d, b.self...)
-	d = binary.BigEndian.AppendUint64(d, b.boot)
-	d = binary.BigEndian.AppendUint64(d, b.number)
+	head = binary.BigEndian.AppendUint64(head, b.boot)
+	head = binary.BigEndian.AppendUint64(head, b.number)
+	tail := binary.BigEndian.AppendUint64(nil, uint64(now))
+	tail = b.appendMarks(tail, now)
+	tail = b.appendRows(tail, MaxDatagram-len(head)-stampBytes)
+	letters := make([]Letter, 0, len(b.peers))
+	for _, p := range b.peers {
+		d := make([]byte, 0, len(head)+stampBytes+len(tail))
+		d = append(d, head...)
+		d = binary.BigEndian.AppendUint64(d, p.stamp)
+		letters = append(letters, Letter{p.address, append(d, tail...)})
+	}
+	return letters
+}
+
+// appendRows appends the counts and the uses that are news, up to a size.
+func (b *Board) appendRows(d []byte, limit int) []byte {
+	rows := min(len(b.own), (limit-len(d)-2)/loadBytes)
+	d = binary.BigEndian.AppendUint16(d, uint16(rows))
 	for key, n := range b.own {
-		if len(d)+rowBytes > MaxDatagram {
+		if rows == 0 {
 			break
 		}
+		rows--
 		d = binary.BigEndian.AppendUint64(d, key)
 		d = binary.BigEndian.AppendUint16(d, uint16(min(max(n, 0), 1<<16-1)))
 	}
+	for len(b.news) > 0 && len(d)+useBytes <= limit {
+		d = binary.BigEndian.AppendUint64(d, uint64(b.news[0].Part))
+		d = binary.BigEndian.AppendUint64(d, uint64(b.news[0].Engine))
+		b.news = b.news[1:]
+	}
 	return d
 }
 
-// Receive applies a datagram of another router. Datagrams of routers that are
-// not listed and those that arrive out of order are ignored.
-func (b *Board) Receive(now clock.Instant, d []byte) error {
-	if len(d) < 2 || d[0] != format || len(d) < 2+int(d[1])+16 {
-		return errMalformed
+// Heard is what a datagram of a peer tells.
+type Heard struct {
+	marks [topics]Mark
+	uses  []prefix.Use
+}
+
+// Mark returns what the peer knows of a topic, in this router's time.
+func (h Heard) Mark(t Topic) Mark { return h.marks[t] }
+
+// Uses returns the uses of parts of prompts that the peer saw.
+func (h Heard) Uses() []prefix.Use { return h.uses }
+
+// Receive applies a datagram of a peer. Datagrams of routers that are not
+// listed and those that arrive out of order are ignored.
+func (b *Board) Receive(now clock.Instant, d []byte) (Heard, error) {
+	if len(d) < 2 || d[0] != format || len(d) < 2+int(d[1])+fixedBytes {
+		return Heard{}, errMalformed
 	}
 	name := string(d[2 : 2+d[1]])
 	d = d[2+len(name):]
 	boot, number := binary.BigEndian.Uint64(d), binary.BigEndian.Uint64(d[8:])
-	d = d[16:]
-	if len(d)%rowBytes != 0 {
-		return errMalformed
+	echo, stamp := clock.Instant(binary.BigEndian.Uint64(d[16:])), binary.BigEndian.Uint64(d[24:])
+	h := Heard{marks: readMarks(d[32:], now, echo)}
+	rows := int(binary.BigEndian.Uint16(d[fixedBytes-2:]))
+	d = d[fixedBytes:]
+	if len(d) < rows*loadBytes || (len(d)-rows*loadBytes)%useBytes != 0 {
+		return Heard{}, errMalformed
 	}
-	loads := make(map[uint64]int, len(d)/rowBytes)
-	for ; len(d) > 0; d = d[rowBytes:] {
+	loads := make(map[uint64]int, rows)
+	for range rows {
 		loads[binary.BigEndian.Uint64(d)] = int(binary.BigEndian.Uint16(d[8:]))
+		d = d[loadBytes:]
+	}
+	for ; len(d) > 0; d = d[useBytes:] {
+		h.uses = append(h.uses, prefix.Use{Part: prefix.Part(binary.BigEndian.Uint64(d)), Engine: prefix.Engine(binary.BigEndian.Uint64(d[8:]))})
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[name]
 	if p == nil || boot < p.boot || boot == p.boot && number <= p.number {
-		return nil
+		return Heard{}, nil
 	}
-	p.boot, p.number, p.heard, p.loads = boot, number, now, loads
-	return nil
+	p.boot, p.number, p.heard, p.stamp, p.loads = boot, number, now, stamp, loads
+	return h, nil
 }
--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -1,11 +1,14 @@
 package directory
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 )
 
@@ -67,10 +70,11 @@
 
 // Directory is safe for concurrent use.
 type Directory struct {
-	mu          sync.RWMutex
-	upstreams   map[string]*Upstream
-	services    map[string][]*Upstream
-	evacuated   map[string]bool
+	mu        sync.RWMutex
+	upstreams map[string]*Upstream
+	services  map[string][]*Upstream
+	known     map[string][]*Upstream
+	evacuated map[string]bool
 	// returned is when the store was last back after an outage.
 	returned clock.Instant
 }
@@ -153,6 +157,28 @@
 	return !same
 }
 
+// Evacuated returns the failure domains that are out of service, sorted.
+func (d *Directory) Evacuated() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Sorted(maps.Keys(d.evacuated))
+}
+
+// Hash returns a hash of what the store says of the upstreams, as far as it
+// decides which receive work. Routers with equal hashes know the same.
+func (d *Directory) Hash() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	hash := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
+		if u := d.upstreams[id]; u.vanished == 0 {
+			// A hash never returns an error.
+			_, _ = fmt.Fprintf(hash, "%s %d %t %t\n", id, u.entry.Born, u.entry.Leaving, u.entry.ColdFor > 0)
+		}
+	}
+	return hash.Sum64()
+}
+
 // Receiving returns the upstreams of a service that may receive new work. The
 // slice must not be changed.
 func (d *Directory) Receiving(service string) []*Upstream {
@@ -161,6 +187,14 @@
 	return d.services[service]
 }
 
+// Known returns all upstreams of a service, also those that receive no new
+// work. The slice must not be changed.
+func (d *Directory) Known(service string) []*Upstream {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.known[service]
+}
+
 // Receives reports whether an upstream may still receive new work.
 func (d *Directory) Receives(u *Upstream) bool {
 	d.mu.RLock()
@@ -235,13 +269,14 @@
 
 // index rebuilds the lists of receiving upstreams.
 func (d *Directory) index() {
-	services := map[string][]*Upstream{}
+	services, known := map[string][]*Upstream{}, map[string][]*Upstream{}
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		u := d.upstreams[id]
+		known[u.entry.Service] = append(known[u.entry.Service], u)
 		if u.entry.Leaving || d.evacuated[u.entry.FailureDomain] {
 			continue
 		}
 		services[u.entry.Service] = append(services[u.entry.Service], u)
 	}
-	d.services = services
+	d.services, d.known = services, known
 }
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -88,7 +88,7 @@
 // pickService picks one of the route's services; requests that share a prompt
 // go to the same one.
 func (j *job) pickService() {
-	key := j.call.Affinity
+	key := j.call.affinity()
 	if key == "" || !j.route.Affine() {
 		key = j.call.ID
 	}
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -64,6 +64,7 @@
 	if j.workspace != nil {
 		a.Workspace = j.workspace.Name()
 	}
+	a.CopyFrom = j.source(u)
 	return http1.Request{
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
 		Header: j.Protocol.Request(j.call, a), Body: j.body, Owns: j.owns,
@@ -154,6 +155,7 @@
 func (j *job) stream(u *directory.Upstream, res *http1.Response) error {
 	flusher := http.NewResponseController(j.writer)
 	events := http1.NewEvents(res)
+	seen := false
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -164,6 +166,10 @@
 		if err != nil {
 			return j.failed(u, verdict.Errorf(verdict.Ran, "stream of %s broke after event %q: %w", u.ID(), j.lastEvent, err))
 		}
+		if !seen {
+			seen = true
+			j.learn(u)
+		}
 		j.begin(res)
 		if e.ID() != "" {
 			j.lastEvent = e.ID()
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -15,15 +15,24 @@
 	Key string
 	// Patience is how long the caller waits, 0 if it does not say.
 	Patience time.Duration
-	// Affinity names the longest part of the prompt that other requests share,
-	// empty if there is none.
-	Affinity string
+	// Shared names the parts of the prompt that other requests share, the widest
+	// first; each name includes the parts before it.
+	Shared []string
 	// PromptTokens and OutputTokens are the sizes that the caller declares.
 	PromptTokens, OutputTokens int
 	// Header holds the fields that are passed on unchanged.
 	Header http.Header
 }
 
+// affinity names what requests of the same chat or document have in common:
+// the longest shared part of the prompt, empty if there is none.
+func (c Call) affinity() string {
+	if len(c.Shared) == 0 {
+		return ""
+	}
+	return c.Shared[len(c.Shared)-1]
+}
+
 // Attempt is one sending of a call to an upstream.
 type Attempt struct {
 	// Upstream must serve the request; others reject it.
@@ -34,6 +43,9 @@
 	Remaining time.Duration
 	// Rank is the priority, 0 for the most urgent.
 	Rank int
+	// CopyFrom is the address of an engine from which the upstream copies what it
+	// lacks of the prompt, empty if it computes that.
+	CopyFrom string
 	// ResumeAfter is the id of the last event that was relayed, empty unless
 	// the attempt resumes a stream.
 	ResumeAfter string
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
 )
 
@@ -26,6 +27,7 @@
 	Retry     *budget.Retry
 	Cold      *budget.Cold
 	Pools     *http1.Pools
+	Holders   *prefix.Holders
 	Observer  admission.Observer
 	Log       logrus.FieldLogger
 	// FailureDomain is where this router runs.
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -31,7 +31,7 @@
 		}
 		j.log().WithFields(logrus.Fields{
 			"upstream": u.ID(), "reason": c.Reason, "load": candidates[c.Index].Load, "bound": c.Bound,
-			"candidates": len(candidates), "cold": cold, "affinity": j.call.Affinity, "attempt": j.sent + 1,
+			"candidates": len(candidates), "cold": cold, "affinity": j.call.affinity(), "attempt": j.sent + 1,
 			"left_ms": j.remaining().Milliseconds(),
 		}).Info("picked")
 		return u, nil
@@ -39,8 +39,8 @@
 }
 
 func (j *job) choose(candidates []balance.Candidate) balance.Choice {
-	if j.route.Affine() && j.call.Affinity != "" {
-		return balance.Affine(j.call.Affinity, candidates)
+	if j.route.Affine() && j.call.affinity() != "" {
+		return balance.Affine(j.call.affinity(), candidates)
 	}
 	return balance.Least(place.Key(j.call.ID), candidates)
 }
