Test the decisions of the router on the platform

Cause: the packages of the first commits had no tests of their own. Change: scripts for the directory and the picks; a played load with a hot document beside the naive version; properties of the retry budget and of the cold-start limit for fleets of 1 to 300 routers; the age of confirmations between routers; fuzzing of datagrams.

--- /dev/null
+++ b/internal/router/balance/balance_test.go
@@ -0,0 +1,158 @@
+package balance
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
+)
+
+// TestPick plays the scripts in testdata. They guard against requests for
+// suspect or held upstreams while others are free, and against loads beyond
+// the bound.
+func TestPick(t *testing.T) {
+	datadriven.RunTest(t, "testdata/pick", func(t *testing.T, td *datadriven.TestData) string {
+		var list []Candidate
+		for line := range strings.Lines(td.Input) {
+			f := strings.Fields(line)
+			c := Candidate{ID: f[0]}
+			if _, err := fmt.Sscan(f[1], &c.Load); err != nil {
+				td.Fatalf(t, "load: %v", err)
+			}
+			for _, flag := range f[2:] {
+				switch flag {
+				case "near":
+					c.Near = true
+				case "suspect":
+					c.Suspect = true
+				case "held":
+					c.Held = true
+				}
+			}
+			list = append(list, c)
+		}
+		var choice Choice
+		switch td.Cmd {
+		case "affine":
+			choice = Affine(td.CmdArgs[0].Key, list)
+		case "least":
+			choice = Least(0, list)
+		}
+		if choice.Index < 0 {
+			return choice.Reason + "\n"
+		}
+		return fmt.Sprintf("%s %s bound=%d\n", list[choice.Index].ID, choice.Reason, choice.Bound)
+	})
+}
+
+// TestHotKey plays a load in which 28% of the requests share one document, and
+// guards against an engine that holds more than twice the mean and 3, while the
+// requests of other documents stay at their homes. Rendezvous order without a
+// bound, the naive version, exceeds it.
+func TestHotKey(t *testing.T) {
+	const engines, rounds, duration = 9, 4000, 40
+	for _, bounded := range []bool{true, false} {
+		candidates := make([]Candidate, engines)
+		for i := range candidates {
+			candidates[i] = Candidate{ID: fmt.Sprint("engine-", i), Slots: 64}
+		}
+		var ends [duration][]int
+		over, spilled := 0, 0
+		for i := range rounds {
+			for _, c := range ends[i%duration] {
+				candidates[c].Load--
+			}
+			ends[i%duration] = nil
+			key := fmt.Sprint("document-", i*7919%67)
+			if i%100 < 28 {
+				key = "hot"
+			}
+			choice := Affine(key, candidates)
+			if !bounded {
+				choice = home(key, candidates)
+			}
+			if choice.Reason == "spill" && key != "hot" {
+				spilled++
+			}
+			candidates[choice.Index].Load++
+			ends[i%duration] = append(ends[i%duration], choice.Index)
+			total := 0
+			for _, c := range candidates {
+				total += c.Load
+			}
+			if float64(candidates[choice.Index].Load) > 2*float64(total)/engines+3 {
+				over++
+			}
+		}
+		if bounded && (over > 0 || spilled > rounds/10) {
+			t.Errorf("%d requests met an engine over the limit, %d of other documents left their home", over, spilled)
+		}
+		if !bounded && over < rounds/20 {
+			t.Errorf("the naive version exceeded the limit %d times only, so the load shows nothing", over)
+		}
+	}
+}
+
+// home is the naive version: always the first engine in rendezvous order.
+func home(key string, candidates []Candidate) Choice {
+	names := make([]string, len(candidates))
+	for i, c := range candidates {
+		names[i] = c.ID
+	}
+	first := place.First(place.Key(key), names)
+	for i, n := range names {
+		if n == first {
+			return Choice{Index: i}
+		}
+	}
+	return none
+}
+
+// TestBound guards against a bound above twice the mean and 3, from which the
+// platform counts overloads.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 200).Draw(t, "n")
+		total := rapid.IntRange(0, 20000).Draw(t, "total")
+		if b, limit := Bound(total, n), 2*float64(total+1)/float64(n)+3; float64(b) > limit {
+			t.Fatalf("bound %d of %d on %d exceeds %.1f", b, total, n, limit)
+		}
+	})
+}
+
+// TestHealth guards against an upstream that stays in use while it fails, and
+// one that stays out of use after it recovered.
+func TestHealth(t *testing.T) {
+	h := NewHealth()
+	now := clock.Instant(time.Hour)
+	h.Unreachable(now, "a")
+	if !h.Suspect(now, "a") {
+		t.Error("an unreachable upstream is not suspect")
+	}
+	now = now.Add(lastEjection)
+	if h.Suspect(now, "a") {
+		t.Error("an upstream is suspect for longer than the longest ejection")
+	}
+	for range 3 {
+		h.Failed(now, "b")
+	}
+	if h.Suspect(now, "b") {
+		t.Error("three failures make an upstream suspect")
+	}
+	for range 10 {
+		h.Failed(now, "b")
+	}
+	if !h.Suspect(now, "b") {
+		t.Error("an upstream that always fails is not suspect")
+	}
+	h.OK("b")
+	if h.Suspect(now, "b") {
+		t.Error("an upstream that answers is suspect")
+	}
+}
--- /dev/null
+++ b/internal/router/budget/budget_test.go
@@ -0,0 +1,83 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+// TestRetry guards against a fleet whose repeats exceed the budget of any
+// window, however the requests are spread over the routers.
+func TestRetry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, slack, length = 0.2, 58, 10 * time.Second
+		n := rapid.IntRange(1, 100).Draw(t, "routers")
+		routers := make([]*Retry, n)
+		for i := range routers {
+			routers[i] = NewRetry(ratio, slack, length)
+		}
+		now := clock.Instant(time.Hour)
+		var requests, repeats []clock.Instant
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			r := routers[rapid.IntRange(0, n-1).Draw(t, "router")]
+			r.Request(now, "desk")
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 5).Draw(t, "tries") {
+				if r.Repeat(now, "desk", n) {
+					repeats = append(repeats, now)
+				}
+			}
+			got, base := within(repeats, now, length), within(requests, now, length)
+			if float64(got) > ratio*float64(base)+slack {
+				t.Fatalf("%d repeats for %d requests on %d routers", got, base, n)
+			}
+		}
+	})
+}
+
+func within(times []clock.Instant, now clock.Instant, d time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if now.Sub(at) < d {
+			n++
+		}
+	}
+	return n
+}
+
+// TestCold guards against more requests in any second than an upstream in cold
+// start bears, from fleets of any size in which every router sends all it may.
+func TestCold(t *testing.T) {
+	const rate, over, slack = 17.0, 1.5, 5.0
+	for _, n := range []int{1, 3, 9, 26, 91, 300} {
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprint("router-", i))
+		}
+		var sent []clock.Instant
+		now := clock.Instant(time.Hour)
+		routers := make([]*Cold, n)
+		for i := range routers {
+			routers[i] = NewCold(names[i], over, slack)
+		}
+		for range 300 {
+			now = now.Add(10 * time.Millisecond)
+			for _, r := range routers {
+				if r.Allow(now, "engine", rate, names) {
+					sent = append(sent, now)
+				}
+			}
+			if got := within(sent, now, coldWindow); float64(got) > rate*over+slack {
+				t.Fatalf("%d routers sent %d requests in a second", n, got)
+			}
+		}
+		if len(sent) == 0 {
+			t.Errorf("%d routers sent nothing", n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/budget/main_test.go
@@ -0,0 +1,14 @@
+package budget
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the
+// same verdict. The flag -rapid.seed on the command line goes before it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/router/digest/board_test.go
@@ -0,0 +1,110 @@
+package digest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
+)
+
+// pair returns two boards that know each other.
+func pair() (a, b *Board) {
+	a, b = NewBoard("a", 1), NewBoard("b", 1)
+	a.SetPeers(1, map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1"})
+	b.SetPeers(1, map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1"})
+	return a, b
+}
+
+func deliver(t *testing.T, to *Board, now clock.Instant, content []byte) Heard {
+	t.Helper()
+	h, err := to.Receive(now, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// TestLoads guards against counts that miss peers' requests, count a datagram
+// twice, or outlive a silent peer.
+func TestLoads(t *testing.T) {
+	a, b := pair()
+	now := clock.Instant(time.Hour)
+	a.Start("engine")
+	a.Start("engine")
+	b.Start("engine")
+	old := a.Letters(now)[0].Content()
+	a.End("engine")
+	deliver(t, b, now, a.Letters(now)[0].Content())
+	deliver(t, b, now, old)
+	if got := b.Loads(now, []string{"engine"})[0]; got != 2 {
+		t.Errorf("load %d, want one of each router", got)
+	}
+	if got := b.Loads(now.Add(2*time.Second), []string{"engine"})[0]; got != 1 {
+		t.Errorf("load %d, want the own one only after the peer fell silent", got)
+	}
+	use := prefix.Use{Part: 7, Engine: 9}
+	a.Tell(use)
+	if uses := deliver(t, b, now, a.Letters(now)[0].Content()).Uses(); len(uses) != 1 || uses[0] != use {
+		t.Errorf("uses %v, want %v", uses, use)
+	}
+}
+
+// TestMarkAge guards against a confirmation that looks younger than it is: a
+// datagram may be delayed, or read by a host that was suspended meanwhile. Only
+// the echo of the receiver's own clock bounds its age.
+func TestMarkAge(t *testing.T) {
+	a, b := pair()
+	aNow, bNow := clock.Instant(time.Hour), clock.Instant(3*time.Hour)
+	a.SetMark(Orders, Mark{Hash: 5, Confirmed: aNow.Add(-300 * time.Millisecond)})
+	first := a.Letters(aNow)[0].Content()
+	if m := deliver(t, b, bNow, first).Mark(Orders); m.Confirmed != 0 {
+		t.Errorf("a mark without echo counts as confirmed at %v", m.Confirmed)
+	}
+	deliver(t, a, aNow, b.Letters(bNow)[0].Content())
+	letter := a.Letters(aNow)[0].Content()
+	late := bNow.Add(20 * time.Second)
+	m := deliver(t, b, late, letter).Mark(Orders)
+	if m.Hash != 5 || m.Confirmed > bNow.Add(-300*time.Millisecond) {
+		t.Errorf("confirmed %v before the echo, want at least 300 ms", bNow.Sub(m.Confirmed))
+	}
+	if m.Confirmed < bNow.Add(-310*time.Millisecond) {
+		t.Errorf("confirmed %v before the echo, want about 300 ms", bNow.Sub(m.Confirmed))
+	}
+}
+
+// TestEchoFromTheFuture guards against an echo of an earlier boot of this host,
+// whose clock had counted further.
+func TestEchoFromTheFuture(t *testing.T) {
+	a, b := pair()
+	deliver(t, a, 1, b.Letters(clock.Instant(time.Hour))[0].Content())
+	a.SetMark(Orders, Mark{Hash: 5, Confirmed: 1})
+	if m := deliver(t, b, clock.Instant(time.Minute), a.Letters(2)[0].Content()).Mark(Orders); m.Confirmed != 0 {
+		t.Errorf("confirmed at %v by an echo from the future", m.Confirmed)
+	}
+}
+
+// TestRouters guards against dividing sums by too few routers right after one
+// falls silent, and against counting it for ever.
+func TestRouters(t *testing.T) {
+	a, _ := pair()
+	if got := len(a.Routers(clock.Instant(peerLifetime))); got != 2 {
+		t.Errorf("%d routers while the peer is listed, want 2", got)
+	}
+	if got := len(a.Routers(clock.Instant(2 * peerLifetime))); got != 1 {
+		t.Errorf("%d routers long after, want 1", got)
+	}
+}
+
+// FuzzReceive guards against datagrams that crash a router.
+func FuzzReceive(f *testing.F) {
+	a, b := pair()
+	b.Start("engine")
+	b.Tell(prefix.Use{Part: 1, Engine: 2})
+	f.Add(b.Letters(5)[0].Content())
+	f.Add([]byte{format, 200, 1})
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		// Malformed datagrams are errors; nothing may panic.
+		_, _ = a.Receive(10, content)
+	})
+}
--- /dev/null
+++ b/internal/router/directory/directory_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+// TestDirectory plays the scripts in testdata. They guard against work sent to
+// upstreams that leave, are evacuated or are gone, and against dropping those
+// whose registration lapsed only because the store was away.
+func TestDirectory(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		d := New()
+		now := clock.Instant(time.Hour)
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			var changes []Change
+			switch td.Cmd {
+			case "wait":
+				var ms int
+				td.ScanArgs(t, "ms", &ms)
+				now = now.Add(time.Duration(ms) * time.Millisecond)
+				changes = d.Tick(now)
+			case "put":
+				for _, e := range entries(t, td.Input) {
+					changes = append(changes, d.Put(now, e)...)
+				}
+			case "list":
+				changes = d.Replace(now, entries(t, td.Input))
+			case "remove":
+				changes = d.Remove(now, td.CmdArgs[0].Key)
+			case "outage":
+				d.Outage(now)
+			case "evacuate":
+				domains := map[string]bool{}
+				for _, a := range td.CmdArgs {
+					domains[a.Key] = true
+				}
+				d.SetEvacuated(domains)
+			default:
+				td.Fatalf(t, "unknown command %s", td.Cmd)
+			}
+			return state(d, now, changes)
+		})
+	})
+}
+
+// entries reads one upstream a line: id, service, domain, state, heartbeat,
+// born, cold milliseconds.
+func entries(t *testing.T, input string) []Entry {
+	var list []Entry
+	for line := range strings.Lines(input) {
+		var e Entry
+		var state string
+		var cold int64
+		if _, err := fmt.Sscan(line, &e.ID, &e.Service, &e.FailureDomain, &state, &e.Heartbeat, &e.Born, &cold); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		e.Leaving = state == "leaving"
+		e.ColdFor = time.Duration(cold) * time.Millisecond
+		list = append(list, e)
+	}
+	return list
+}
+
+func state(d *Directory, now clock.Instant, changes []Change) string {
+	var b strings.Builder
+	for _, c := range changes {
+		fmt.Fprintf(&b, "%s %s\n", c.What, c.ID)
+	}
+	var names []string
+	for _, u := range d.Receiving("desk") {
+		name := u.ID()
+		if u.Cold(now) {
+			name += "(cold)"
+		}
+		names = append(names, name)
+	}
+	fmt.Fprintf(&b, "receiving: %s\n", strings.Join(names, " "))
+	return b.String()
+}
