Tell peers of changed upstreams; spread short requests; ready once upstreams are known

And a router was ready before it had listed the upstreams (a test met a 503). Change: the routers that follow the upstreams tell each change to all peers, ordered by the store's revision; a difference must last 0.35 of the drain time before a follower lists them itself. Plain services go by own counts.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,6 +35,9 @@
 	// askShare is the part of the time for a change to take effect after which a
 	// router that was told nothing asks the store itself.
 	askShare = 0.75
+	// settleShare is the part of the drain time for which a difference from peers
+	// may last; datagrams of a change are repeated for less.
+	settleShare = 0.35
 	// memoryShare is the part of the host's memory that the heap may use before
 	// the collector works harder; the rest is for stacks and buffers.
 	memoryShare = 0.6
@@ -64,9 +68,13 @@
 	upstreams *feed
 	socket    *net.UDPConn
 	leaving   context.Context
+	// listed is set once the upstreams have been listed.
+	listed atomic.Bool
 
 	mu   sync.Mutex
 	lost map[string]bool
+	// recent are the changes of upstreams that are still told to peers.
+	recent []recentChange
 }
 
 // New returns a router that is not running yet.
@@ -83,8 +91,8 @@
 		metrics:   admin.NewMetrics(),
 		counters:  new(expvar.Map).Init(),
 		lost:      map[string]bool{},
-		orders:    newFeed(digest.Orders, time.Duration(askShare*float64(s.ConfigInForce))),
-		upstreams: newFeed(digest.Upstreams, time.Duration(askShare*float64(s.Drain))),
+		orders:    newFeed(digest.Orders, time.Duration(askShare*float64(s.ConfigInForce)), 0),
+		upstreams: newFeed(digest.Upstreams, time.Duration(askShare*float64(s.Drain)), time.Duration(settleShare*float64(s.Drain))),
 	}
 	e.gateway = forward.New(forward.Parts{
 		Protocol: protocol, Authority: e.authority, Directory: e.directory, Board: e.board, Health: e.health,
@@ -136,7 +144,7 @@
 
 // ready answers the balancer: 200 while requests can be served.
 func (e *Edge) ready(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Err() != nil || !e.authority.Serving(clock.Now()) {
+	if e.leaving.Err() != nil || !e.listed.Load() || !e.authority.Serving(clock.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -27,16 +27,21 @@
 	// patience is the age of the knowledge at which the router asks the store
 	// itself.
 	patience time.Duration
+	// settling is how long a difference from peers may last before the router
+	// asks the store, since changes may still be on their way from peers.
+	settling time.Duration
 	wake     chan struct{}
 
 	mu   sync.Mutex
 	mark digest.Mark
 	// read is when the state was last read from the store.
 	read clock.Instant
+	// differs is since when peers state a newer and different state.
+	differs clock.Instant
 }
 
-func newFeed(t digest.Topic, patience time.Duration) *feed {
-	return &feed{topic: t, patience: patience, wake: make(chan struct{}, 1)}
+func newFeed(t digest.Topic, patience, settling time.Duration) *feed {
+	return &feed{topic: t, patience: patience, settling: settling, wake: make(chan struct{}, 1)}
 }
 
 // set notes that a call sent at an instant showed a state with the hash.
@@ -54,9 +59,18 @@
 	return f.mark
 }
 
+// setHash notes that the state changed by what peers told.
+func (f *feed) setHash(hash uint64) digest.Mark {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mark.Hash = hash
+	return f.mark
+}
+
 // hear takes a peer's mark and reports whether it confirms this router's state.
-// A different state that is newer wakes the follower.
-func (f *feed) hear(m digest.Mark) (confirmed bool) {
+// A different state that is newer, and stays different for the settling time,
+// wakes the follower.
+func (f *feed) hear(now clock.Instant, m digest.Mark) (confirmed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m.Confirmed == 0 || f.mark.Confirmed == 0 {
@@ -64,9 +78,17 @@
 	}
 	if m.Hash == f.mark.Hash {
 		f.mark.Confirmed = max(f.mark.Confirmed, m.Confirmed)
+		f.differs = 0
 		return true
 	}
-	if m.Confirmed > f.read {
+	if m.Confirmed <= f.read {
+		return false
+	}
+	if f.differs == 0 {
+		f.differs = now
+	}
+	if now.Sub(f.differs) >= f.settling {
+		f.differs = 0
 		select {
 		case f.wake <- struct{}{}:
 		default:
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/digest"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 )
 
 // errNoConfiguration means that operators have not written one yet.
@@ -128,7 +129,8 @@
 		if away {
 			e.directory.Outage(now)
 		}
-		e.logChanges(e.directory.Replace(now, entries), at)
+		e.logChanges(e.directory.Replace(now, entries, at), at)
+		e.listed.Store(true)
 		e.confirmUpstreams(sent)
 		return at, nil
 	}
@@ -138,16 +140,27 @@
 	}
 	now := clock.Now()
 	for _, c := range changes {
-		if c.Entry == nil {
-			e.logChanges(e.directory.Remove(now, c.ID), at)
-		} else {
-			e.logChanges(e.directory.Put(now, *c.Entry), at)
+		if e.apply(now, c) && e.watches(digest.Upstreams) {
+			e.spread(now, c)
 		}
 	}
 	e.confirmUpstreams(sent)
 	return at, nil
 }
 
+// apply applies one change and reports whether the directory differs by it.
+func (e *Edge) apply(now clock.Instant, c UpstreamChange) bool {
+	before := e.directory.Hash()
+	var changes []directory.Change
+	if c.Entry == nil {
+		changes = e.directory.Remove(now, c.ID, c.Revision)
+	} else {
+		changes = e.directory.Put(now, *c.Entry)
+	}
+	e.logChanges(changes, c.Revision)
+	return e.directory.Hash() != before
+}
+
 // confirmUpstreams notes that the directory is up to date as of an instant.
 func (e *Edge) confirmUpstreams(sent clock.Instant) {
 	e.board.SetMark(digest.Upstreams, e.upstreams.set(digest.Mark{Hash: e.directory.Hash(), Confirmed: sent}))
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -90,6 +90,10 @@
 			return fmt.Errorf("receive digests: %w", err)
 		}
 		now := clock.Now()
+		if n > 0 && buffer[0] == changesFormat {
+			e.hearChanges(now, buffer[1:n])
+			continue
+		}
 		heard, err := e.board.Receive(now, buffer[:n])
 		if err != nil {
 			e.counters.Add("digests_malformed", 1)
@@ -98,28 +102,37 @@
 	}
 }
 
+func (e *Edge) send(address string, content []byte) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("address of a peer: %w", err)
+	}
+	_, err = e.socket.WriteToUDPAddrPort(content, to)
+	return err
+}
+
 // hear takes in what a peer tells.
 func (e *Edge) hear(now clock.Instant, h digest.Heard) {
 	for _, u := range h.Uses() {
 		e.holders.Used(now, u)
 	}
-	if m := h.Mark(digest.Orders); e.orders.hear(m) {
+	if m := h.Mark(digest.Orders); e.orders.hear(now, m) {
 		e.authority.Confirm(m.Confirmed)
 	}
-	e.upstreams.hear(h.Mark(digest.Upstreams))
+	e.upstreams.hear(now, h.Mark(digest.Upstreams))
 }
 
 // sendDigests sends this router's counts to all peers.
 func (e *Edge) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause(ctx, max(digestInterval, time.Duration(len(e.board.Routers(clock.Now())))*peerInterval))
-		for _, l := range e.board.Letters(clock.Now()) {
-			to, err := netip.ParseAddrPort(l.Address())
-			if err == nil {
-				_, err = e.socket.WriteToUDPAddrPort(l.Content(), to)
-			}
-			if err != nil {
-				e.counters.Add("digests_unsent", 1)
+		now := clock.Now()
+		changes := e.changeDatagrams(now)
+		for _, l := range e.board.Letters(now) {
+			for _, content := range append(changes, l.Content()) {
+				if err := e.send(l.Address(), content); err != nil {
+					e.counters.Add("digests_unsent", 1)
+				}
 			}
 		}
 	}
--- a/internal/host/edge/store.go
+++ b/internal/host/edge/store.go
@@ -29,6 +29,8 @@
 	ID string
 	// Entry is the new registration, nil if it was removed or names no upstream.
 	Entry *directory.Entry
+	// Revision orders the changes.
+	Revision uint64
 }
 
 // Store is the platform's store, seen as what a router needs. Revisions order
--- a/internal/router/balance/balance.go
+++ b/internal/router/balance/balance.go
@@ -20,6 +20,8 @@
 	ID string
 	// Load is the number of requests in progress from the whole fleet.
 	Load int
+	// Own is the part of Load that this router sent, which is never stale.
+	Own int
 	// Slots is how many requests the upstream runs at once.
 	Slots int
 	// Near reports whether the upstream is in the router's failure domain.
@@ -80,19 +82,35 @@
 			return Choice{Index: index[name], Reason: reason, Bound: bound}
 		}
 	}
-	c := least(candidates, usable, 0)
+	c := least(candidates, usable)
 	c.Bound = bound
 	return c
 }
 
-// Least picks the candidate with the smallest load for each slot, the near
-// ones first among equals, then by tie.
-func Least(tie uint64, candidates []Candidate) Choice {
+// Spread picks the one with fewer requests of this router among two candidates
+// that draw selects. Counts of peers are older than a
+// short request lasts, and routers that all went by them would overload the
+// same upstream until the next digest.
+func Spread(draw uint64, candidates []Candidate) Choice {
 	usable := usable(candidates)
 	if len(usable) == 0 {
 		return none
 	}
-	return least(candidates, usable, tie)
+	n := uint64(len(usable))
+	first := draw % n
+	pair := []int{usable[first]}
+	if n > 1 {
+		pair = append(pair, usable[(first+1+(draw/n)%(n-1))%n])
+	}
+	best := pair[0]
+	if len(pair) > 1 && fewer(candidates[pair[1]], candidates[best]) {
+		best = pair[1]
+	}
+	return chosen(candidates, best)
+}
+
+func fewer(a, b Candidate) bool {
+	return a.Own*max(1, b.Slots) < b.Own*max(1, a.Slots)
 }
 
 // usable returns the positions of the candidates that may receive the request:
@@ -114,15 +132,18 @@
 	return suspect
 }
 
-func least(candidates []Candidate, usable []int, tie uint64) Choice {
-	best := -1
-	start := int(tie % uint64(len(usable)))
-	for i := range usable {
-		c := usable[(start+i)%len(usable)]
-		if best < 0 || lighter(candidates[c], candidates[best]) {
+// least returns the candidate with the smallest load for each slot.
+func least(candidates []Candidate, among []int) Choice {
+	best := among[0]
+	for _, c := range among[1:] {
+		if lighter(candidates[c], candidates[best]) {
 			best = c
 		}
 	}
+	return chosen(candidates, best)
+}
+
+func chosen(candidates []Candidate, best int) Choice {
 	reason := "least"
 	if candidates[best].Suspect {
 		reason = "suspect"
--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 			if _, err := fmt.Sscan(f[1], &c.Load); err != nil {
 				td.Fatalf(t, "load: %v", err)
 			}
+			c.Own = c.Load
 			for _, flag := range f[2:] {
 				switch flag {
 				case "near":
@@ -41,8 +43,10 @@
 		switch td.Cmd {
 		case "affine":
 			choice = Affine(td.CmdArgs[0].Key, list)
-		case "least":
-			choice = Least(0, list)
+		case "spread":
+			var draw uint64
+			td.ScanArgs(t, "draw", &draw)
+			choice = Spread(draw, list)
 		}
 		if choice.Index < 0 {
 			return choice.Reason + "\n"
@@ -99,6 +103,58 @@
 	}
 }
 
+// TestStaleCounts plays 78 routers before 5 upstreams with 6 slots each, 190
+// requests of 60 ms a second, and digests every 400 ms. It guards against
+// routers that all pick the same upstream until the next digest, as the naive
+// choice of the least loaded one does.
+func TestStaleCounts(t *testing.T) {
+	const routers, upstreams, slots, digestMS, workMS, seconds = 78, 5, 6, 400, 60, 60
+	full := func(pick func(draw uint64, c []Candidate) int) (share float64) {
+		random := rand.New(rand.NewPCG(1, 2))
+		var own [routers][upstreams]int
+		var told, running [upstreams]int
+		type end struct{ router, upstream int }
+		ends := map[int][]end{}
+		rejected, requests := 0, 0
+		for ms := range seconds * 1000 {
+			for _, e := range ends[ms] {
+				own[e.router][e.upstream]--
+				running[e.upstream]--
+			}
+			delete(ends, ms)
+			if ms%digestMS == 0 {
+				told = running
+			}
+			if random.IntN(1000) >= 190 {
+				continue
+			}
+			requests++
+			r := random.IntN(routers)
+			candidates := make([]Candidate, upstreams)
+			for u := range candidates {
+				candidates[u] = Candidate{ID: fmt.Sprint(u), Load: told[u] + own[r][u], Own: own[r][u], Slots: slots}
+			}
+			u := pick(random.Uint64(), candidates)
+			if running[u] >= slots {
+				rejected++
+				continue
+			}
+			own[r][u]++
+			running[u]++
+			ends[ms+workMS] = append(ends[ms+workMS], end{r, u})
+		}
+		return float64(rejected) / float64(requests)
+	}
+	spread := full(func(draw uint64, c []Candidate) int { return Spread(draw, c).Index })
+	naive := full(func(_ uint64, c []Candidate) int {
+		return least(c, []int{0, 1, 2, 3, 4}).Index
+	})
+	// Erlang's loss formula gives 2% for a random choice at this load.
+	if spread > 0.03 || naive < 3*spread {
+		t.Errorf("full upstreams met by %.3f of the requests, naively by %.3f", spread, naive)
+	}
+}
+
 // home is the naive version: always the first engine in rendezvous order.
 func home(key string, candidates []Candidate) Choice {
 	names := make([]string, len(candidates))
--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -80,22 +80,23 @@
 	}
 }
 
-// Loads returns the requests in progress at each upstream, from all routers
-// whose counts are known.
-func (b *Board) Loads(now clock.Instant, upstreams []string) []int {
-	loads := make([]int, len(upstreams))
+// Loads returns the requests in progress at each upstream: from all routers
+// whose counts are known, and this router's own part of them.
+func (b *Board) Loads(now clock.Instant, upstreams []string) (loads, own []int) {
+	loads, own = make([]int, len(upstreams)), make([]int, len(upstreams))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i, u := range upstreams {
 		key := xxhash.Sum64String(u)
-		loads[i] = b.own[key]
+		own[i] = b.own[key]
+		loads[i] = own[i]
 		for _, p := range b.peers {
 			if p.heard != 0 && now.Sub(p.heard) < loadLifetime {
 				loads[i] += p.loads[key]
 			}
 		}
 	}
-	return loads
+	return loads, own
 }
 
 // SetPeers replaces the list of the other routers, by name and address.
--- a/internal/router/digest/board_test.go
+++ b/internal/router/digest/board_test.go
@@ -37,11 +37,11 @@
 	a.End("engine")
 	deliver(t, b, now, a.Letters(now)[0].Content())
 	deliver(t, b, now, old)
-	if got := b.Loads(now, []string{"engine"})[0]; got != 2 {
-		t.Errorf("load %d, want one of each router", got)
+	if all, own := b.Loads(now, []string{"engine"}); all[0] != 2 || own[0] != 1 {
+		t.Errorf("load %d, own %d, want one of each router", all[0], own[0])
 	}
-	if got := b.Loads(now.Add(2*time.Second), []string{"engine"})[0]; got != 1 {
-		t.Errorf("load %d, want the own one only after the peer fell silent", got)
+	if all, _ := b.Loads(now.Add(2*time.Second), []string{"engine"}); all[0] != 1 {
+		t.Errorf("load %d, want the own one only after the peer fell silent", all[0])
 	}
 	use := prefix.Use{Part: 7, Engine: 9}
 	a.Tell(use)
--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -29,6 +29,8 @@
 	ColdFor time.Duration
 	// Heartbeat counts the registrations of one incarnation.
 	Heartbeat uint64
+	// Revision orders the changes of the registration, 0 if unknown.
+	Revision uint64
 	// Born identifies the incarnation by its start in Unix milliseconds, 0 if unknown.
 	Born int64
 }
@@ -74,14 +76,23 @@
 	upstreams map[string]*Upstream
 	services  map[string][]*Upstream
 	known     map[string][]*Upstream
+	// revisions are those of the last change of each upstream, also of removed
+	// ones, so that a delayed change cannot bring one back.
+	revisions map[string]uint64
 	evacuated map[string]bool
 	// returned is when the store was last back after an outage.
 	returned clock.Instant
 }
 
+// maxRevisions bounds the memory of removed upstreams.
+const maxRevisions = 1 << 16
+
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{}, evacuated: map[string]bool{}}
+	return &Directory{
+		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
+		evacuated: map[string]bool{}, revisions: map[string]uint64{},
+	}
 }
 
 // Outage notes that the store is known to have been away until now.
@@ -91,9 +102,9 @@
 	d.returned = now
 }
 
-// Replace applies a whole listing: entries that are missing are gone, unless
-// they may still return after an outage of the store.
-func (d *Directory) Replace(now clock.Instant, entries []Entry) []Change {
+// Replace applies a whole listing as of a revision: entries that are missing
+// are gone, unless they may still return after an outage of the store.
+func (d *Directory) Replace(now clock.Instant, entries []Entry, revision uint64) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changes []Change
@@ -104,7 +115,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		if !present[id] {
-			changes = d.remove(now, id, changes)
+			changes = d.remove(now, id, revision, changes)
 		}
 	}
 	d.index()
@@ -121,10 +132,10 @@
 }
 
 // Remove applies the removal of one registration.
-func (d *Directory) Remove(now clock.Instant, id string) []Change {
+func (d *Directory) Remove(now clock.Instant, id string, revision uint64) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changes := d.remove(now, id, nil)
+	changes := d.remove(now, id, revision, nil)
 	d.index()
 	return changes
 }
@@ -211,7 +222,26 @@
 	return slices.Sorted(maps.Keys(d.upstreams))
 }
 
+// stale reports whether a change of an upstream is older than the last one,
+// and notes it otherwise. Revision 0 is never stale.
+func (d *Directory) stale(id string, revision uint64) bool {
+	if revision == 0 {
+		return false
+	}
+	if revision < d.revisions[id] {
+		return true
+	}
+	if len(d.revisions) >= maxRevisions {
+		maps.DeleteFunc(d.revisions, func(id string, _ uint64) bool { return d.upstreams[id] == nil })
+	}
+	d.revisions[id] = revision
+	return false
+}
+
 func (d *Directory) put(now clock.Instant, e Entry, changes []Change) []Change {
+	if d.stale(e.ID, e.Revision) {
+		return changes
+	}
 	old := d.upstreams[e.ID]
 	u := &Upstream{entry: e}
 	if e.ColdFor > 0 {
@@ -247,9 +277,9 @@
 	return changes
 }
 
-func (d *Directory) remove(now clock.Instant, id string, changes []Change) []Change {
+func (d *Directory) remove(now clock.Instant, id string, revision uint64, changes []Change) []Change {
 	u := d.upstreams[id]
-	if u == nil || u.vanished != 0 {
+	if d.stale(id, revision) || u == nil || u.vanished != 0 {
 		return changes
 	}
 	if !u.entry.Leaving && d.returned != 0 && now.Sub(d.returned) < returnGrace {
--- a/internal/router/directory/directory_test.go
+++ b/internal/router/directory/directory_test.go
@@ -31,9 +31,9 @@
 					changes = append(changes, d.Put(now, e)...)
 				}
 			case "list":
-				changes = d.Replace(now, entries(t, td.Input))
+				changes = d.Replace(now, entries(t, td.Input), 0)
 			case "remove":
-				changes = d.Remove(now, td.CmdArgs[0].Key)
+				changes = d.Remove(now, td.CmdArgs[0].Key, 0)
 			case "outage":
 				d.Outage(now)
 			case "evacuate":
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -42,7 +42,7 @@
 	if j.route.Affine() && j.call.affinity() != "" {
 		return balance.Affine(j.call.affinity(), candidates)
 	}
-	return balance.Least(place.Key(j.call.ID), candidates)
+	return balance.Spread(place.Key(j.call.ID), candidates)
 }
 
 func (j *job) candidates(now clock.Instant, upstreams []*directory.Upstream) []balance.Candidate {
@@ -50,11 +50,11 @@
 	for i, u := range upstreams {
 		ids[i] = u.ID()
 	}
-	loads := j.Board.Loads(now, ids)
+	loads, own := j.Board.Loads(now, ids)
 	list := make([]balance.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		list[i] = balance.Candidate{
-			ID: u.ID(), Load: loads[i], Slots: u.Slots(), Near: u.FailureDomain() == j.FailureDomain,
+			ID: u.ID(), Load: loads[i], Own: own[i], Slots: u.Slots(), Near: u.FailureDomain() == j.FailureDomain,
 			Suspect: j.Health.Suspect(now, u.ID()), Held: j.tried[u.ID()],
 		}
 	}
