Share outcomes among routers, try a second upstream in time, honour keys a little longer

Change: digests carry outcomes by upstream; one that fails for peers is avoided unless this router has just reached it. Half of a service stays in use whatever fails. An idempotent request or resumable stream that gets nothing for twice its objective, or a third of its time, goes to another upstream if the budget allows. Keys are honoured until 1.1 s before the bound. The pause after failed calls grows with the fleet; watchers ask every 0.5 and 0.4 s.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -30,8 +30,9 @@
 
 const (
 	// revocationMargin is kept before the bound on revoked keys: a watch may be
-	// deaf for a second before the store's history is cut.
-	revocationMargin = 1500 * time.Millisecond
+	// deaf for a second before the store's history is cut, and callers may send
+	// a moment before the router looks at the time.
+	revocationMargin = 1100 * time.Millisecond
 	// askShare is the part of the time for a change to take effect after which a
 	// router that was told nothing asks the store itself.
 	askShare = 0.75
@@ -72,6 +73,8 @@
 	listed atomic.Bool
 	// peersListed is set once the other routers have been listed.
 	peersListed atomic.Bool
+	// failures counts the failed calls to the store in a row.
+	failures atomic.Int64
 
 	mu   sync.Mutex
 	lost map[string]bool
--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -31,6 +31,9 @@
 	// asks the store, since changes may still be on their way from peers.
 	settling time.Duration
 	wake     chan struct{}
+	// members is signalled when the list of routers changes, and with it
+	// perhaps who watches.
+	members chan struct{}
 
 	mu   sync.Mutex
 	mark digest.Mark
@@ -41,7 +44,7 @@
 }
 
 func newFeed(t digest.Topic, patience, settling time.Duration) *feed {
-	return &feed{topic: t, patience: patience, settling: settling, wake: make(chan struct{}, 1)}
+	return &feed{topic: t, patience: patience, settling: settling, wake: make(chan struct{}, 1), members: make(chan struct{}, 1)}
 }
 
 // set notes that a call sent at an instant showed a state with the hash.
@@ -116,6 +119,7 @@
 		t := time.NewTimer(left)
 		select {
 		case <-ctx.Done():
+		case <-f.members:
 		case <-f.wake:
 			t.Stop()
 			e.log.WithField("topic", feedName[f.topic]).Info("asks store, told of a change")
@@ -127,6 +131,14 @@
 	return true
 }
 
+// membersChanged lets followers look anew whether they watch.
+func (f *feed) membersChanged() {
+	select {
+	case f.members <- struct{}{}:
+	default:
+	}
+}
+
 // watches reports whether this router follows a topic in the store. A router
 // that has not listed its peers yet does not, since after a start of the fleet
 // all would.
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -21,30 +21,31 @@
 	// ordersWait is how long a call waits for a change of the operators' orders.
 	// Each call that returns confirms the configuration, and two that are lost
 	// in a row fit in the time for which a confirmation holds.
-	ordersWait = 400 * time.Millisecond
+	ordersWait = 500 * time.Millisecond
 	// upstreamsWait is how long a call waits for a change of the upstreams.
 	upstreamsWait = 400 * time.Millisecond
 	// upstreamsPause gathers the heartbeats of many upstreams in one call.
-	upstreamsPause = 200 * time.Millisecond
-	// retryPause is the pause after a failed call to the store, which doubles up
-	// to a limit. Routers that follow a topic for the others ask more often.
-	retryPause      = 150 * time.Millisecond
-	maxWatcherPause = 300 * time.Millisecond
-	maxPause        = 2000 * time.Millisecond
+	upstreamsPause = 400 * time.Millisecond
+	// retryPause is the pause after a failed call to the store. It doubles up to
+	// a limit: minPause for the routers that follow a topic for the others, and
+	// routerPause for each live router for the rest, so that the calls of the
+	// fleet do not grow with it.
+	retryPause  = 150 * time.Millisecond
+	minPause    = 300 * time.Millisecond
+	routerPause = 22 * time.Millisecond
 )
 
 // followOrders keeps the configuration and the failure domains that are out of
 // service up to date.
 func (e *Edge) followOrders(ctx context.Context) error {
 	var revision uint64
-	failures := 0
 	for ctx.Err() == nil {
 		if e.await(ctx, e.orders) {
 			revision = 0
 		}
 		next, err := e.stepOrders(ctx, clock.Now(), revision)
 		e.dependency("orders", err)
-		failures = e.afterCall(ctx, digest.Orders, failures, err)
+		e.afterCall(ctx, digest.Orders, err)
 		revision = next
 	}
 	return ctx.Err()
@@ -98,7 +99,7 @@
 // followUpstreams keeps the directory up to date.
 func (e *Edge) followUpstreams(ctx context.Context) error {
 	var revision uint64
-	failures, away := 0, false
+	away := false
 	for ctx.Err() == nil {
 		if e.await(ctx, e.upstreams) {
 			revision = 0
@@ -106,7 +107,7 @@
 		next, err := e.stepUpstreams(ctx, revision, away)
 		e.dependency("upstreams", err)
 		away = err != nil && (away || !errors.Is(err, ErrCompacted))
-		failures = e.afterCall(ctx, digest.Upstreams, failures, err)
+		e.afterCall(ctx, digest.Upstreams, err)
 		if revision != 0 && err == nil {
 			pause(ctx, upstreamsPause)
 		}
@@ -166,18 +167,18 @@
 	e.board.SetMark(digest.Upstreams, e.upstreams.set(digest.Mark{Hash: e.directory.Hash(), Confirmed: sent}))
 }
 
-// afterCall pauses after a failed call and returns the number of failures in a
-// row. A cut history is no failure of the store.
-func (e *Edge) afterCall(ctx context.Context, t digest.Topic, failures int, err error) int {
+// afterCall pauses after a failed call, longer with each failure in a row for
+// any topic. A cut history is no failure of the store.
+func (e *Edge) afterCall(ctx context.Context, t digest.Topic, err error) {
 	if err == nil || errors.Is(err, ErrCompacted) {
-		return 0
+		e.failures.Store(0)
+		return
 	}
-	limit := maxPause
-	if e.watches(t) {
-		limit = maxWatcherPause
+	limit := minPause
+	if !e.watches(t) {
+		limit = max(limit, time.Duration(len(e.board.Routers(clock.Now())))*routerPause)
 	}
-	pause(ctx, min(retryPause<<min(failures, 8), limit))
-	return failures + 1
+	pause(ctx, min(retryPause<<min(e.failures.Add(1)-1, 8), limit))
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -66,8 +66,10 @@
 	if err != nil {
 		return lease, err
 	}
-	e.peersListed.Store(true)
-	if e.board.SetPeers(clock.Now(), routers) {
+	first := !e.peersListed.Swap(true)
+	if e.board.SetPeers(clock.Now(), routers) || first {
+		e.orders.membersChanged()
+		e.upstreams.membersChanged()
 		e.log.WithField("routers", len(routers)).Info("peers changed")
 	}
 	return lease, nil
@@ -114,6 +116,9 @@
 
 // hear takes in what a peer tells.
 func (e *Edge) hear(now clock.Instant, h digest.Heard) {
+	for _, s := range h.Seen() {
+		e.health.Told(now, s)
+	}
 	for _, u := range h.Uses() {
 		e.holders.Used(now, u)
 	}
@@ -129,6 +134,7 @@
 		pause(ctx, max(digestInterval, time.Duration(len(e.board.Routers(clock.Now())))*peerInterval))
 		now := clock.Now()
 		changes := e.changeDatagrams(now)
+		e.board.TellSeen(e.health.News())
 		for _, l := range e.board.Letters(now) {
 			for _, content := range append(changes, l.Content()) {
 				if err := e.send(l.Address(), content); err != nil {
--- a/internal/router/balance/balance.go
+++ b/internal/router/balance/balance.go
@@ -114,7 +114,8 @@
 }
 
 // usable returns the positions of the candidates that may receive the request:
-// the healthy ones, or the suspect ones if there are no others.
+// the healthy ones, or all if most are suspect, since the few that are left
+// would be overloaded.
 func usable(candidates []Candidate) []int {
 	var healthy, suspect []int
 	for i, c := range candidates {
@@ -126,10 +127,10 @@
 			healthy = append(healthy, i)
 		}
 	}
-	if len(healthy) > 0 {
+	if len(healthy) >= len(suspect) {
 		return healthy
 	}
-	return suspect
+	return append(healthy, suspect...)
 }
 
 // least returns the candidate with the smallest load for each slot.
--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -207,8 +207,61 @@
 	if !h.Suspect(now, "b") {
 		t.Error("an upstream that always fails is not suspect")
 	}
-	h.OK("b")
+	h.OK(now, "b")
 	if h.Suspect(now, "b") {
 		t.Error("an upstream that answers is suspect")
 	}
 }
+
+// TestTold guards against an upstream that fails for the whole fleet and that
+// each router tries anew, and against avoiding one that only a peer cannot
+// reach.
+func TestTold(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	routers := make([]*Health, 30)
+	for i := range routers {
+		routers[i] = NewHealth()
+	}
+	tell := func() {
+		for i, from := range routers {
+			for _, s := range from.News() {
+				for j, to := range routers {
+					if i != j {
+						to.Told(now, s)
+					}
+				}
+			}
+		}
+	}
+	for i := range 5 {
+		routers[i].Failed(now, "mute")
+		routers[i].OK(now, "good")
+	}
+	tell()
+	if !routers[29].Suspect(now, "mute") || routers[29].Suspect(now, "good") {
+		t.Error("the outcomes of five peers tell the sixth nothing")
+	}
+	routers[0].Unreachable(now, "cut")
+	routers[1].OK(now, "cut")
+	tell()
+	if routers[1].Suspect(now, "cut") || !routers[2].Suspect(now, "cut") {
+		t.Error("a router that reaches an upstream avoids it, or one that knows nothing does not")
+	}
+	tell()
+	if len(routers[0].News()) != 0 {
+		t.Error("outcomes are told twice")
+	}
+}
+
+// TestMostSuspect guards against crowding the last healthy upstreams when most
+// of a service are suspect.
+func TestMostSuspect(t *testing.T) {
+	list := []Candidate{{ID: "a", Suspect: true}, {ID: "b", Suspect: true}, {ID: "c", Own: 9, Load: 9}}
+	if got := usable(list); len(got) != 3 {
+		t.Errorf("%d of 3 upstreams are used", len(got))
+	}
+	list[1].Suspect = false
+	if got := usable(list); len(got) != 2 {
+		t.Errorf("%d upstreams are used, want the two healthy ones", len(got))
+	}
+}
--- a/internal/router/balance/health.go
+++ b/internal/router/balance/health.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 )
 
@@ -20,34 +22,51 @@
 	// failureLimit is the average above which an upstream is avoided although
 	// it accepts connections: about four failures in a row.
 	failureLimit = 0.5
+	// maxCount bounds a count of Seen, which peers get as one byte.
+	maxCount = 255
 )
 
-// record is what was seen of one upstream.
+// Seen counts the outcomes of requests at one upstream since they were last
+// told to peers.
+type Seen struct {
+	// Upstream is the hash of the upstream's id.
+	Upstream uint64
+	// OK and Failed count answers and requests that were accepted and failed.
+	OK, Failed uint8
+	// Unreachable counts connections that could not be made.
+	Unreachable uint8
+}
+
+// record is what is known of one upstream.
 type record struct {
 	failures  float64
 	ejections int
 	until     clock.Instant
+	// answered is when this router last got an answer.
+	answered clock.Instant
+	seen     Seen
 }
 
-// Health remembers the outcomes of requests by upstream. It is safe for
-// concurrent use.
+// Health remembers the outcomes of requests by upstream, those of peers
+// included: a router of a large fleet sends too few requests to each upstream
+// to notice alone that one fails. It is safe for concurrent use.
 type Health struct {
 	mu      sync.Mutex
-	records map[string]*record
+	records map[uint64]*record
 }
 
 // NewHealth returns a memory without outcomes.
-func NewHealth() *Health { return &Health{records: map[string]*record{}} }
+func NewHealth() *Health { return &Health{records: map[uint64]*record{}} }
 
 // OK notes an answer of an upstream.
-func (h *Health) OK(id string) {
+func (h *Health) OK(now clock.Instant, id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r := h.records[id]; r != nil {
-		r.failures *= 1 - failureWeight
-		r.ejections = 0
-		r.until = 0
-	}
+	r := h.record(xxhash.Sum64String(id))
+	r.seen.OK = count(r.seen.OK)
+	r.answered = now
+	r.succeed()
+	r.until = 0
 }
 
 // Unreachable notes that a connection could not be made or went silent, and
@@ -55,7 +74,9 @@
 func (h *Health) Unreachable(now clock.Instant, id string) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.record(id).eject(now)
+	r := h.record(xxhash.Sum64String(id))
+	r.seen.Unreachable = count(r.seen.Unreachable)
+	return r.eject(now)
 }
 
 // Failed notes a request that the upstream accepted and failed, and returns
@@ -63,19 +84,49 @@
 func (h *Health) Failed(now clock.Instant, id string) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.record(id)
-	r.failures += failureWeight * (1 - r.failures)
-	if r.failures < failureLimit {
-		return 0
+	r := h.record(xxhash.Sum64String(id))
+	r.seen.Failed = count(r.seen.Failed)
+	return r.fail(now)
+}
+
+// Told notes outcomes that a peer has seen. An upstream that this router
+// reached within the shortest ejection is not avoided because a peer did not.
+func (h *Health) Told(now clock.Instant, s Seen) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.record(s.Upstream)
+	for range s.OK {
+		r.succeed()
+	}
+	for range s.Failed {
+		r.fail(now)
+	}
+	if s.Unreachable > 0 && (r.answered == 0 || now.Sub(r.answered) > firstEjection) {
+		r.eject(now)
 	}
-	return r.eject(now)
+}
+
+// News returns the outcomes since the last call.
+func (h *Health) News() []Seen {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var news []Seen
+	for key, r := range h.records {
+		if r.seen != (Seen{}) {
+			s := r.seen
+			s.Upstream = key
+			news = append(news, s)
+			r.seen = Seen{}
+		}
+	}
+	return news
 }
 
 // Suspect reports whether an upstream is to be avoided.
 func (h *Health) Suspect(now clock.Instant, id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.records[id]
+	r := h.records[xxhash.Sum64String(id)]
 	return r != nil && now < r.until
 }
 
@@ -83,24 +134,38 @@
 func (h *Health) Keep(ids []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	kept := map[string]*record{}
+	kept := map[uint64]*record{}
 	for _, id := range ids {
-		if r := h.records[id]; r != nil {
-			kept[id] = r
+		key := xxhash.Sum64String(id)
+		if r := h.records[key]; r != nil {
+			kept[key] = r
 		}
 	}
 	h.records = kept
 }
 
-func (h *Health) record(id string) *record {
-	r := h.records[id]
+func (h *Health) record(key uint64) *record {
+	r := h.records[key]
 	if r == nil {
 		r = &record{}
-		h.records[id] = r
+		h.records[key] = r
 	}
 	return r
 }
 
+func (r *record) succeed() {
+	r.failures *= 1 - failureWeight
+	r.ejections = 0
+}
+
+func (r *record) fail(now clock.Instant) time.Duration {
+	r.failures += failureWeight * (1 - r.failures)
+	if r.failures < failureLimit {
+		return 0
+	}
+	return r.eject(now)
+}
+
 func (r *record) eject(now clock.Instant) time.Duration {
 	if now < r.until {
 		return 0
@@ -110,3 +175,10 @@
 	r.until = now.Add(d)
 	return d
 }
+
+func count(n uint8) uint8 {
+	if n == maxCount {
+		return n
+	}
+	return n + 1
+}
--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 )
 
@@ -46,6 +47,7 @@
 	own    map[uint64]int
 	peers  map[string]*peer
 	news   []prefix.Use
+	seen   []balance.Seen
 	marks  [topics]Mark
 }
 
@@ -59,6 +61,13 @@
 	}
 }
 
+// TellSeen sets the outcomes for the next datagrams.
+func (b *Board) TellSeen(seen []balance.Seen) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seen = seen
+}
+
 // NewBoard returns a board; boot must grow with each start of this router.
 func NewBoard(self string, boot uint64) *Board {
 	return &Board{self: self, boot: boot, own: map[uint64]int{}, peers: map[string]*peer{}}
--- a/internal/router/digest/board_test.go
+++ b/internal/router/digest/board_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 )
 
@@ -43,6 +44,11 @@
 	if all, _ := b.Loads(now.Add(2*time.Second), []string{"engine"}); all[0] != 1 {
 		t.Errorf("load %d, want the own one only after the peer fell silent", all[0])
 	}
+	outcome := balance.Seen{Upstream: 3, OK: 1, Failed: 2, Unreachable: 4}
+	a.TellSeen([]balance.Seen{outcome})
+	if seen := deliver(t, b, now, a.Letters(now)[0].Content()).Seen(); len(seen) != 1 || seen[0] != outcome {
+		t.Errorf("outcomes %v, want %v", seen, outcome)
+	}
 	use := prefix.Use{Part: 7, Engine: 9}
 	a.Tell(use)
 	if uses := deliver(t, b, now, a.Letters(now)[0].Content()).Uses(); len(uses) != 1 || uses[0] != use {
--- a/internal/router/digest/datagram.go
+++ b/internal/router/digest/datagram.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 )
 
@@ -13,14 +14,16 @@
 
 // format is the first byte of a datagram, which changes with the layout:
 // format, length of the name, name, boot, number, echo, sent, marks, number of
-// counts, counts, uses.
-const format = 3
+// counts, counts, number of outcomes, outcomes, uses.
+const format = 4
 
 const (
 	// fixedBytes is the size of what stands between the name and the counts.
 	fixedBytes = 2*8 + 2*stampBytes + int(topics)*markBytes + 2
 	// loadBytes is the size of one count: the hash of the upstream and the count.
 	loadBytes = 10
+	// seenBytes is the size of the outcomes at one upstream.
+	seenBytes = 11
 	// useBytes is the size of one use of a part of a prompt.
 	useBytes = 16
 )
@@ -65,7 +68,7 @@
 
 // appendRows appends the counts and the uses that are news, up to a size.
 func (b *Board) appendRows(d []byte, limit int) []byte {
-	rows := min(len(b.own), (limit-len(d)-2)/loadBytes)
+	rows := min(len(b.own), (limit-len(d)-4)/loadBytes)
 	d = binary.BigEndian.AppendUint16(d, uint16(rows))
 	for key, n := range b.own {
 		if rows == 0 {
@@ -75,6 +78,13 @@
 		d = binary.BigEndian.AppendUint64(d, key)
 		d = binary.BigEndian.AppendUint16(d, uint16(min(max(n, 0), 1<<16-1)))
 	}
+	seen := b.seen[:min(len(b.seen), max(0, (limit-len(d)-2)/seenBytes))]
+	b.seen = nil
+	d = binary.BigEndian.AppendUint16(d, uint16(len(seen)))
+	for _, s := range seen {
+		d = binary.BigEndian.AppendUint64(d, s.Upstream)
+		d = append(d, s.OK, s.Failed, s.Unreachable)
+	}
 	for len(b.news) > 0 && len(d)+useBytes <= limit {
 		d = binary.BigEndian.AppendUint64(d, uint64(b.news[0].Part))
 		d = binary.BigEndian.AppendUint64(d, uint64(b.news[0].Engine))
@@ -87,8 +97,12 @@
 type Heard struct {
 	marks [topics]Mark
 	uses  []prefix.Use
+	seen  []balance.Seen
 }
 
+// Seen returns the outcomes of requests that the peer saw.
+func (h Heard) Seen() []balance.Seen { return h.seen }
+
 // Mark returns what the peer knows of a topic, in this router's time.
 func (h Heard) Mark(t Topic) Mark { return h.marks[t] }
 
@@ -108,7 +122,7 @@
 	h := Heard{marks: readMarks(d[32:], now, echo)}
 	rows := int(binary.BigEndian.Uint16(d[fixedBytes-2:]))
 	d = d[fixedBytes:]
-	if len(d) < rows*loadBytes || (len(d)-rows*loadBytes)%useBytes != 0 {
+	if len(d) < rows*loadBytes+2 {
 		return Heard{}, errMalformed
 	}
 	loads := make(map[uint64]int, rows)
@@ -116,6 +130,15 @@
 		loads[binary.BigEndian.Uint64(d)] = int(binary.BigEndian.Uint16(d[8:]))
 		d = d[loadBytes:]
 	}
+	rows = int(binary.BigEndian.Uint16(d))
+	d = d[2:]
+	if len(d) < rows*seenBytes || (len(d)-rows*seenBytes)%useBytes != 0 {
+		return Heard{}, errMalformed
+	}
+	for range rows {
+		h.seen = append(h.seen, balance.Seen{Upstream: binary.BigEndian.Uint64(d), OK: d[8], Failed: d[9], Unreachable: d[10]})
+		d = d[seenBytes:]
+	}
 	for ; len(d) > 0; d = d[useBytes:] {
 		h.uses = append(h.uses, prefix.Use{Part: prefix.Part(binary.BigEndian.Uint64(d)), Engine: prefix.Engine(binary.BigEndian.Uint64(d[8:]))})
 	}
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
@@ -44,8 +45,10 @@
 	}
 	j.Board.Start(u.ID())
 	defer j.Board.End(u.ID())
-	ctx, cancel := context.WithCancel(j.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(j.ctx)
+	defer cancel(nil)
+	j.stall = time.AfterFunc(j.patience(), func() { cancel(errStalled) })
+	defer j.stall.Stop()
 	res, err := j.Pools.Of(u.ID(), u.Born(), u.Address()).Do(ctx, j.attempt(u))
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
@@ -130,7 +133,7 @@
 		return j.failed(u, verdict.Errorf(verdict.Ran, "upstream %s answered %d", u.ID(), res.Status()))
 	}
 	if res.Status() < 500 {
-		j.Health.OK(u.ID())
+		j.Health.OK(clock.Now(), u.ID())
 	}
 	if j.begun {
 		return verdict.Errorf(verdict.Ran, "upstream %s answered the resumption with %d", u.ID(), res.Status())
@@ -159,7 +162,7 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			j.Health.OK(u.ID())
+			j.Health.OK(clock.Now(), u.ID())
 			j.begin(res)
 			return nil
 		}
@@ -171,6 +174,7 @@
 			j.learn(u)
 		}
 		j.begin(res)
+		j.stall.Reset(j.patience())
 		if e.ID() != "" {
 			j.lastEvent = e.ID()
 		}
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -33,6 +33,7 @@
 	errNoUpstream = errors.New("no upstream may receive the request")
 	errNoTime     = errors.New("the time of the request is over")
 	errLeft       = errors.New("the caller left")
+	errStalled    = errors.New("the upstream sends nothing")
 )
 
 // job is one request of a caller on its way.
@@ -64,7 +65,9 @@
 	// if no other upstream does better.
 	held *reply
 	// begun is set once a part of a stream went to the caller.
-	begun     bool
+	begun bool
+	// stall cancels the attempt if the upstream sends nothing for too long.
+	stall     *time.Timer
 	lastEvent string
 
 	upstream   string
--- a/internal/router/forward/repeat.go
+++ b/internal/router/forward/repeat.go
@@ -14,6 +14,15 @@
 	// staleForRepeatable bounds the idle time for requests that are simply sent
 	// again.
 	staleForRepeatable = time.Minute
+	// objectives is how many objectives an upstream may take before another is
+	// tried: an answer that late is on time nowhere.
+	objectives = 2
+	// waitShare is the part of the time left that an upstream gets at least, so
+	// that one that is merely slow is not given up.
+	waitShare = 1.0 / 3
+	// gaps is how many of the longest pauses that are on time may pass between
+	// two events.
+	gaps = 4
 )
 
 // freshness returns the longest idle time of a connection that may carry a
@@ -24,3 +33,28 @@
 	}
 	return staleForOnce
 }
+
+// patience returns how long an upstream may send nothing, given what is left of
+// the request's time and the sendings so far. The last try gets all that is
+// left, and so does a request that may not be repeated: nobody is better off if
+// it is given up early.
+func patience(r *route.Route, left time.Duration, sent int, begun bool) time.Duration {
+	switch {
+	case !r.MayRepeat() || sent >= r.MaxAttempts():
+		return left
+	case begun && r.EventGap() > 0:
+		return min(left, gaps*r.EventGap())
+	}
+	wait := max(objectives*r.Objective(), time.Duration(waitShare*float64(left)))
+	return min(left, wait)
+}
+
+// patience returns how long the present attempt may bring nothing.
+func (j *job) patience() time.Duration {
+	sent := j.sent
+	if !j.begun {
+		// The present attempt is counted once its answer begins.
+		sent++
+	}
+	return max(0, patience(j.route, j.remaining(), sent, j.begun))
+}
