--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -115,7 +115,7 @@
 		why = "retry budget used"
 	}
 	j.log().WithFields(logrus.Fields{
-		"error": err, "verdict": verdict.Of(err), "again": why == "", "why": why, "tried": len(j.tried),
+		"error": err, "upstream": j.upstream, "verdict": verdict.Of(err), "again": why == "", "why": why, "tried": len(j.tried),
 	}).Info("attempt failed")
 	return why == ""
 }
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -20,6 +20,9 @@
 	candidates := j.candidates(now, upstreams)
 	for {
 		c := j.choose(candidates)
+		if c.Index < 0 && j.mayHaveRun && j.sameAgain(candidates) {
+			continue
+		}
 		if c.Index < 0 {
 			return nil, verdict.New(verdict.NotRun, errNoUpstream)
 		}
@@ -38,6 +41,21 @@
 	}
 }
 
+// sameAgain admits the upstreams that the request was sent to before, since no
+// other is left, and reports whether there are any. One that failed a request
+// may well answer the next; one that rejected it is full.
+func (j *job) sameAgain(candidates []balance.Candidate) bool {
+	found := false
+	for i := range candidates {
+		if candidates[i].Held && j.tried[candidates[i].ID] {
+			candidates[i].Held = false
+			delete(j.tried, candidates[i].ID)
+			found = true
+		}
+	}
+	return found
+}
+
 func (j *job) choose(candidates []balance.Candidate) balance.Choice {
 	if j.route.Affine() && j.call.affinity() != "" {
 		return balance.Affine(j.call.affinity(), candidates)
