Bound a router's connections to each upstream; a slow caller is no silent upstream

Cause: read in the code: the limit on connections of an upstream, a sum over all callers, was not divided among the routers, and the timer for a silent upstream ran while an event was written to the caller. Change: each router opens at most its share, two at least; the timer stops during the write. TestMaxConns; the timer has no test.

--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/route"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
@@ -71,7 +72,7 @@
 	return http1.Request{
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
 		Header: j.Protocol.Request(j.call, a), Body: j.body, Owns: j.owns,
-		Freshness: freshness(j.route),
+		MaxConns: budget.Connections(j.service.MaxConns(), len(j.Board.Routers(clock.Now()))), Freshness: freshness(j.route),
 	}
 }
 
@@ -174,7 +175,8 @@
 			j.learn(u)
 		}
 		j.begin(res)
-		j.stall.Reset(j.patience())
+		// A slow caller must not count as a silent upstream.
+		j.stall.Stop()
 		if e.ID() != "" {
 			j.lastEvent = e.ID()
 		}
@@ -184,6 +186,7 @@
 		if err := flusher.Flush(); err != nil {
 			return verdict.Errorf(verdict.Ran, "%w: %w", errLeft, err)
 		}
+		j.stall.Reset(j.patience())
 	}
 }
 
--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -133,6 +133,30 @@
 	}
 }
 
+// TestMaxConns guards against more connections to an upstream than a router's
+// share, which the upstream would reset.
+func TestMaxConns(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	pool := NewPool(l.Addr().String())
+	var last *conn
+	for range 2 {
+		if last, err = pool.take(context.Background(), 2, time.Minute); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := pool.take(context.Background(), 2, time.Minute); verdict.Of(err) != verdict.NotRun || err == nil {
+		t.Errorf("a third connection: %v", err)
+	}
+	pool.drop(last)
+	if _, err := pool.take(context.Background(), 2, time.Minute); err != nil {
+		t.Errorf("after one was closed: %v", err)
+	}
+}
+
 // TestUnreachable guards against calling a request possibly executed although
 // no connection was made.
 func TestUnreachable(t *testing.T) {
