--- a/internal/caller/front/server.go
+++ b/internal/caller/front/server.go
@@ -145,10 +145,3 @@
 	}
 	return len(s.since)
 }
-
-// Connections returns the number of open connections.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.since)
-}
--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -206,15 +206,6 @@
 	return d.known[service]
 }
 
-// Receives reports whether an upstream may still receive new work.
-func (d *Directory) Receives(u *Upstream) bool {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return slices.ContainsFunc(d.services[u.entry.Service], func(v *Upstream) bool {
-		return v.entry.ID == u.entry.ID && v.entry.Born == u.entry.Born
-	})
-}
-
 // IDs returns the identities of all known upstreams, leaving ones included.
 func (d *Directory) IDs() []string {
 	d.mu.RLock()
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -162,7 +162,7 @@
 	seen := false
 	for {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if errors.Is(err, io.EOF) {
 			j.Health.OK(clock.Now(), u.ID())
 			j.begin(res)
 			return nil
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -18,8 +18,6 @@
 	// Shared names the parts of the prompt that other requests share, the widest
 	// first; each name includes the parts before it.
 	Shared []string
-	// PromptTokens and OutputTokens are the sizes that the caller declares.
-	PromptTokens, OutputTokens int
 	// Header holds the fields that are passed on unchanged.
 	Header http.Header
 }
--- a/internal/router/route/table.go
+++ b/internal/router/route/table.go
@@ -10,18 +10,17 @@
 
 // Service is a group of interchangeable upstreams.
 type Service struct {
-	name        string
-	maxConns    int
-	coldPerSec  float64
-	hasEngine   bool
-	engineSlots int
+	name       string
+	maxConns   int
+	coldPerSec float64
+	isEngine   bool
 }
 
 // NewService returns a service. maxConns bounds the connections to one of its
 // upstreams from all callers, coldPerSec the requests a second to one in cold
-// start; engineSlots is 0 for services that are not model engines.
-func NewService(name string, maxConns int, coldPerSec float64, engineSlots int) *Service {
-	return &Service{name, maxConns, coldPerSec, engineSlots > 0, engineSlots}
+// start; isEngine tells model engines from plain services.
+func NewService(name string, maxConns int, coldPerSec float64, isEngine bool) *Service {
+	return &Service{name, maxConns, coldPerSec, isEngine}
 }
 
 // MaxConns returns how many connections one upstream accepts from all callers.
@@ -31,14 +30,15 @@
 func (s *Service) ColdRate() float64 { return s.coldPerSec }
 
 // IsEngine reports whether the upstreams are model engines.
-func (s *Service) IsEngine() bool { return s.hasEngine }
+func (s *Service) IsEngine() bool { return s.isEngine }
 
 // Limits bound what callers may send and how long they may take.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes bounds a body, 0 for no bound.
+	BodyBytes int
+	// IdleTimeout bounds the time between requests of a connection, 0 for no
+	// bound. Headers are bounded by the server's fixed limits.
+	IdleTimeout time.Duration
 }
 
 // Workspace is a customer of the fleet, found by its API key.
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -51,8 +51,6 @@
 	status int
 	header http.Header
 	body   io.Reader
-	length int64
-	reused bool
 
 	pool    *Pool
 	conn    *conn
@@ -69,16 +67,10 @@
 // Header returns the header, which includes fields of the connection.
 func (r *Response) Header() http.Header { return r.header }
 
-// Length returns the length of the body in bytes, -1 if it is not announced.
-func (r *Response) Length() int64 { return r.length }
-
-// Reused reports whether the request went over a kept connection.
-func (r *Response) Reused() bool { return r.reused }
-
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if errors.Is(err, io.EOF) {
 		r.clean = true
 	}
 	return n, err
@@ -166,8 +158,8 @@
 		if q.Owns(res.StatusCode, res.Header) {
 			c.idleLimit = idleLimit(res.Header)
 			return &Response{
-				status: res.StatusCode, header: res.Header, body: res.Body, length: res.ContentLength,
-				reused: c.reused, conn: c, keep: !res.Close && c.idleLimit > 0, written: written,
+				status: res.StatusCode, header: res.Header, body: res.Body,
+				conn: c, keep: !res.Close && c.idleLimit > 0, written: written,
 			}, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBody)); err != nil || res.Close {
