Keep requests in the regions that operators allow, and in the router's own if it can

Change: the template passes the region of each failure domain; upstreams in other regions are used only if the own one has no healthy one, and never where the configuration does not allow it.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -102,7 +102,7 @@
 	e.gateway = forward.New(forward.Parts{
 		Protocol: protocol, Authority: e.authority, Directory: e.directory, Board: e.board, Health: e.health,
 		Retry: budget.NewRetry(s.RetryRatio, s.RetrySlack, s.RetryWindow), Cold: e.cold, Pools: e.pools, Holders: e.holders,
-		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain,
+		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain, Regions: s.Regions,
 	})
 	return e
 }
--- a/internal/host/edge/settings.go
+++ b/internal/host/edge/settings.go
@@ -15,12 +15,14 @@
 type Settings struct {
 	Name          string
 	FailureDomain string
-	Callers       string
-	Readiness     string
-	Metrics       string
-	Peers         string
-	Store         string
-	MemoryMB      int
+	// Regions names the region of each failure domain.
+	Regions   map[string]string
+	Callers   string
+	Readiness string
+	Metrics   string
+	Peers     string
+	Store     string
+	MemoryMB  int
 	// Revocation is the time within which a key that was taken away must not
 	// be honoured any more.
 	Revocation time.Duration
@@ -116,7 +118,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	s := &Settings{}
+	s := &Settings{Regions: file.Section("failure_domains").KeysHash()}
 	var faults []error
 	for _, f := range fields {
 		value := file.Section(f.section).Key(f.key).String()
--- a/internal/router/authority/authority_test.go
+++ b/internal/router/authority/authority_test.go
@@ -18,7 +18,7 @@
 		t.Error("serves without a configuration")
 	}
 	keyed := route.NewTable(7, route.Limits{})
-	keyed.AddWorkspace(route.NewWorkspace("w", nil), []string{"k"})
+	keyed.AddWorkspace(route.NewWorkspace("w", nil, nil), []string{"k"})
 	if !a.Adopt(keyed) || a.Adopt(route.NewTable(6, route.Limits{})) || a.Table().Version() != 7 {
 		t.Error("a lower version was adopted")
 	}
--- a/internal/router/balance/balance.go
+++ b/internal/router/balance/balance.go
@@ -31,6 +31,8 @@
 	// Held marks an upstream that must not receive this request, since it was
 	// tried before or its cold start allows no more.
 	Held bool
+	// Barred marks a held upstream that must never receive this request.
+	Barred bool
 }
 
 // Choice is the outcome of a pick and the inputs that decided it.
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -32,6 +32,8 @@
 	Log       logrus.FieldLogger
 	// FailureDomain is where this router runs.
 	FailureDomain string
+	// Regions names the region of each failure domain.
+	Regions map[string]string
 }
 
 // Gateway serves requests of callers.
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -47,7 +47,7 @@
 func (j *job) sameAgain(candidates []balance.Candidate) bool {
 	found := false
 	for i := range candidates {
-		if candidates[i].Held && j.tried[candidates[i].ID] {
+		if candidates[i].Held && !candidates[i].Barred && j.tried[candidates[i].ID] {
 			candidates[i].Held = false
 			delete(j.tried, candidates[i].ID)
 			found = true
@@ -76,5 +76,25 @@
 			Suspect: j.Health.Suspect(now, u.ID()), Held: j.tried[u.ID()],
 		}
 	}
+	j.holdRegions(list, upstreams)
 	return list
 }
+
+// holdRegions holds back upstreams in regions where the request may not be
+// served, and those of other regions while this one has any.
+func (j *job) holdRegions(list []balance.Candidate, upstreams []*directory.Upstream) {
+	home := j.Regions[j.FailureDomain]
+	local := false
+	for i, u := range upstreams {
+		region := j.Regions[u.FailureDomain()]
+		if !j.route.Allows(region) || !j.workspace.Allows(region) {
+			list[i].Held, list[i].Barred = true, true
+		}
+		local = local || region == home && !list[i].Held && !list[i].Suspect
+	}
+	for i, u := range upstreams {
+		if local && j.Regions[u.FailureDomain()] != home {
+			list[i].Held = true
+		}
+	}
+}
--- a/internal/router/route/route.go
+++ b/internal/router/route/route.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -50,9 +51,11 @@
 	MaxAttempts int
 	Priority    int
 	Backends    []Backend
-	Public      bool
-	Affine      bool
-	Resumable   bool
+	// Regions are those where requests may be served, none for all.
+	Regions   []string
+	Public    bool
+	Affine    bool
+	Resumable bool
 }
 
 // Route is one immutable row of the routing table.
@@ -86,6 +89,13 @@
 // Public reports whether the route is served without an API key.
 func (r *Route) Public() bool { return r.spec.Public }
 
+// Allows reports whether requests of the route may be served in a region.
+func (r *Route) Allows(region string) bool { return allows(r.spec.Regions, region) }
+
+func allows(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
 // Affine reports whether requests that share a prompt prefix belong together.
 func (r *Route) Affine() bool { return r.spec.Affine }
 
--- a/internal/router/route/table.go
+++ b/internal/router/route/table.go
@@ -46,11 +46,13 @@
 	name        string
 	priority    int
 	hasPriority bool
+	regions     []string
 }
 
-// NewWorkspace returns a workspace; priority is nil if it has none of its own.
-func NewWorkspace(name string, priority *int) *Workspace {
-	w := &Workspace{name: name}
+// NewWorkspace returns a workspace; priority is nil if it has none of its own,
+// and regions are those where its requests may be served, none for all.
+func NewWorkspace(name string, priority *int, regions []string) *Workspace {
+	w := &Workspace{name: name, regions: regions}
 	if priority != nil {
 		w.priority, w.hasPriority = *priority, true
 	}
@@ -60,6 +62,10 @@
 // Name returns the name that upstreams are told.
 func (w *Workspace) Name() string { return w.name }
 
+// Allows reports whether requests of the workspace may be served in a region;
+// without a workspace they may.
+func (w *Workspace) Allows(region string) bool { return w == nil || allows(w.regions, region) }
+
 // Priority returns the rank of the workspace's requests on a route, where the
 // workspace's own rank goes before the route's.
 func (w *Workspace) Priority(r *Route) int {
