--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -145,8 +145,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changes []Change
-	for id, u := range d.upstreams {
-		if u.vanished != 0 && now.Sub(d.returned) >= returnGrace {
+	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
+		if u := d.upstreams[id]; u.vanished != 0 && now.Sub(d.returned) >= returnGrace {
 			changes = d.drop(id, "gone", changes)
 		}
 	}
