Keep the directory's hash; say what happens to answers over 1 MB

Cause: the closing read of the change. A comment said that longer answers break the caller's answer; they count as failed. Change: the hash is kept where the lists by service are rebuilt anyway. Behaviour is the same; the tests of the directory, of forwarding and of platform/ pass without the soak, which did not run again.

--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -76,6 +76,8 @@
 	upstreams map[string]*Upstream
 	services  map[string][]*Upstream
 	known     map[string][]*Upstream
+	// hash is what Hash returns, kept since each change asks for it twice.
+	hash uint64
 	// revisions are those of the last change of each upstream, also of removed
 	// ones, so that a delayed change cannot bring one back.
 	revisions map[string]uint64
@@ -89,10 +91,9 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{
-		upstreams: map[string]*Upstream{}, services: map[string][]*Upstream{},
-		evacuated: map[string]bool{}, revisions: map[string]uint64{},
-	}
+	d := &Directory{upstreams: map[string]*Upstream{}, evacuated: map[string]bool{}, revisions: map[string]uint64{}}
+	d.index()
+	return d
 }
 
 // Outage notes that the store is known to have been away until now.
@@ -180,14 +181,7 @@
 func (d *Directory) Hash() uint64 {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	hash := xxhash.New()
-	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
-		if u := d.upstreams[id]; u.vanished == 0 {
-			// A hash never returns an error.
-			_, _ = fmt.Fprintf(hash, "%s %d %t %t\n", id, u.entry.Born, u.entry.Leaving, u.entry.ColdFor > 0)
-		}
-	}
-	return hash.Sum64()
+	return d.hash
 }
 
 // Receiving returns the upstreams of a service that may receive new work. The
@@ -288,16 +282,22 @@
 	return changes
 }
 
-// index rebuilds the lists of receiving upstreams.
+// index rebuilds what is derived from the upstreams: the lists by service and
+// the hash.
 func (d *Directory) index() {
 	services, known := map[string][]*Upstream{}, map[string][]*Upstream{}
+	hash := xxhash.New()
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		u := d.upstreams[id]
+		if u.vanished == 0 {
+			// A hash never returns an error.
+			_, _ = fmt.Fprintf(hash, "%s %d %t %t\n", id, u.entry.Born, u.entry.Leaving, u.entry.ColdFor > 0)
+		}
 		known[u.entry.Service] = append(known[u.entry.Service], u)
 		if u.entry.Leaving || d.evacuated[u.entry.FailureDomain] {
 			continue
 		}
 		services[u.entry.Service] = append(services[u.entry.Service], u)
 	}
-	d.services, d.known = services, known
+	d.services, d.known, d.hash = services, known, hash.Sum64()
 }
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -19,7 +19,7 @@
 )
 
 // maxReply bounds the answers that are read whole before they are relayed, in
-// bytes; a failed longer one breaks the caller's answer.
+// bytes; longer ones count as failed.
 const maxReply = 1 << 20
 
 // reply is a complete answer of an upstream.
