Let routers introduce themselves, and watch the store only once they know each other

Ruled out: changes of the configuration (178 reads for two changes).

A router lists its peers fresh, once, half a second after its registration; it takes in routers that are not listed by their datagrams, with the address these came from; it leaves out watchers that are silent for 1.5 s or 4 intervals instead of those that the store does not list any more. The lease is 10 s (6), renewed every 3 s (2), and the list read every 6 s (2). A store without a configuration is a state that peers confirm. Changes of upstreams are repeated for 3 intervals where that is longer than 0.6 s. The sorted list of live routers is kept for 0.1 s; requests built it three times. Counts of peers live for 3 intervals where that is longer than a second.

TestRouters of internal/router/digest names listedLifetime in place of peerLifetime, which is 10 s now for listed peers as the lease is; the property is the same.

--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -17,6 +17,10 @@
 // told by them, and read the store only for a change or if told nothing.
 const watchers = 2
 
+// watchCheck is how often a follower looks whether it watches now, since those
+// who did fell silent.
+const watchCheck = 400 * time.Millisecond
+
 // feedName keys the rendezvous order of the watchers of each topic, so that the
 // topics fall to different routers.
 var feedName = map[digest.Topic]string{digest.Orders: "orders", digest.Upstreams: "upstreams"}
@@ -31,9 +35,6 @@
 	// asks the store, since changes may still be on their way from peers.
 	settling time.Duration
 	wake     chan struct{}
-	// members is signalled when the list of routers changes, and with it
-	// perhaps who watches.
-	members chan struct{}
 
 	mu   sync.Mutex
 	mark digest.Mark
@@ -44,7 +45,7 @@
 }
 
 func newFeed(t digest.Topic, patience, settling time.Duration) *feed {
-	return &feed{topic: t, patience: patience, settling: settling, wake: make(chan struct{}, 1), members: make(chan struct{}, 1)}
+	return &feed{topic: t, patience: patience, settling: settling, wake: make(chan struct{}, 1)}
 }
 
 // set notes that a call sent at an instant showed a state with the hash.
@@ -116,10 +117,9 @@
 			e.log.WithFields(logrus.Fields{"topic": feedName[f.topic], "known": known, "overdue_ms": -left.Milliseconds()}).Info("asks store, not told in time")
 			return true
 		}
-		t := time.NewTimer(left)
+		t := time.NewTimer(min(left, watchCheck))
 		select {
 		case <-ctx.Done():
-		case <-f.members:
 		case <-f.wake:
 			t.Stop()
 			e.log.WithField("topic", feedName[f.topic]).Info("asks store, told of a change")
@@ -131,14 +131,6 @@
 	return true
 }
 
-// membersChanged lets followers look anew whether they watch.
-func (f *feed) membersChanged() {
-	select {
-	case f.members <- struct{}{}:
-	default:
-	}
-}
-
 // watches reports whether this router follows a topic in the store. A router
 // that has not listed its peers yet does not, since after a start of the fleet
 // all would.
@@ -146,6 +138,6 @@
 	if !e.peersListed.Load() {
 		return false
 	}
-	order := place.Order(place.Key(feedName[t]), e.board.Routers(clock.Now()))
+	order := place.Order(place.Key(feedName[t]), e.board.Reachable(clock.Now()))
 	return slices.Contains(order[:min(watchers, len(order))], e.settings.Name)
 }
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -14,9 +14,6 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 )
 
-// errNoConfiguration means that operators have not written one yet.
-var errNoConfiguration = errors.New("the store has no configuration")
-
 const (
 	// ordersWait is how long a call waits for a change of the operators' orders.
 	// Each call that returns confirms the configuration, and two that are lost
@@ -69,10 +66,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if orders.Table == nil {
-		return 0, errNoConfiguration
-	}
-	if e.authority.Adopt(orders.Table) {
+	if orders.Table != nil && e.authority.Adopt(orders.Table) {
 		e.log.WithFields(logrus.Fields{
 			"config": orders.Table.Version(), "revision": at, "read_ms": clock.Since(sent).Milliseconds(),
 		}).Info("configuration in force")
@@ -85,11 +79,16 @@
 }
 
 // confirmOrders notes that the present orders are the newest as of an instant.
+// That operators have not written a configuration yet is a state like others.
 func (e *Edge) confirmOrders(sent clock.Instant) {
-	e.authority.Confirm(sent)
+	version := "none"
+	if t := e.authority.Table(); t != nil {
+		e.authority.Confirm(sent)
+		version = strconv.FormatUint(t.Version(), 10)
+	}
 	hash := xxhash.New()
 	// Digest.WriteString never returns an error.
-	_, _ = hash.WriteString(strconv.FormatUint(e.authority.Table().Version(), 10))
+	_, _ = hash.WriteString(version)
 	for _, domain := range e.directory.Evacuated() {
 		_, _ = hash.WriteString("/" + domain)
 	}
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -14,23 +14,39 @@
 
 const (
 	// leaseLifetime is how long a router that died stays listed.
-	leaseLifetime = 6 * time.Second
+	leaseLifetime = 10 * time.Second
 	// renewInterval leaves two tries before the lease ends.
-	renewInterval = 2 * time.Second
-	// digestInterval is how often counts go to peers; at 9 routers it costs
-	// about 1 KB/s each.
-	digestInterval = 200 * time.Millisecond
-	// peerInterval bounds a router's datagrams to 200 a second in a large fleet.
-	peerInterval = 5 * time.Millisecond
+	renewInterval = 3 * time.Second
+	// listEvery is how many renewals pass between two listings. New routers
+	// introduce themselves by datagrams, so a listing only finds those whose
+	// datagrams are lost.
+	listEvery = 2
+	// firstListing is how long after its registration a router lists the others
+	// for the first time; the routers of a fleet start within 0.3 s.
+	firstListing = 500 * time.Millisecond
+	// registerPause is the pause after a failed registration.
+	registerPause = time.Second
 )
 
 // register lists this router among the peers and reads the list.
 func (e *Edge) register(ctx context.Context) error {
 	var lease uint64
-	for ctx.Err() == nil {
+	for step := 0; ctx.Err() == nil; {
 		var err error
-		lease, err = e.stepRegister(ctx, lease)
+		if lease, err = e.renew(ctx, lease); err == nil && step == 0 {
+			pause(ctx, firstListing)
+		}
+		if err == nil && step%listEvery == 0 {
+			err = e.listPeers(ctx)
+		}
 		e.dependency("peers", err)
+		if err == nil {
+			step++
+		}
+		if step == 0 {
+			pause(ctx, registerPause)
+			continue
+		}
 		pause(ctx, renewInterval)
 	}
 	if lease != 0 {
@@ -42,37 +58,38 @@
 	return ctx.Err()
 }
 
-func (e *Edge) stepRegister(ctx context.Context, lease uint64) (uint64, error) {
+// renew keeps this router listed, under a new lease if the last one has ended,
+// and returns the lease, 0 if there is none.
+func (e *Edge) renew(ctx context.Context, lease uint64) (uint64, error) {
 	if lease != 0 {
 		err := e.store.Renew(ctx, lease)
-		switch {
-		case errors.Is(err, ErrNoLease):
-			lease = 0
-		case err != nil:
+		if !errors.Is(err, ErrNoLease) {
 			return lease, err
 		}
 	}
-	if lease == 0 {
-		next, err := e.store.Lease(ctx, leaseLifetime)
-		if err != nil {
-			return 0, err
-		}
-		if err := e.store.Register(ctx, next, e.settings.Name, e.settings.Peers); err != nil {
-			return 0, err
-		}
-		lease = next
+	next, err := e.store.Lease(ctx, leaseLifetime)
+	if err != nil {
+		return 0, err
 	}
-	routers, err := e.store.Routers(ctx)
+	if err := e.store.Register(ctx, next, e.settings.Name, e.settings.Peers); err != nil {
+		return 0, err
+	}
+	return next, nil
+}
+
+// listPeers reads the list of routers. The first list must not be old, since a
+// router that knows no peers follows the store itself.
+func (e *Edge) listPeers(ctx context.Context) error {
+	first := !e.peersListed.Load()
+	routers, err := e.store.Routers(ctx, first)
 	if err != nil {
-		return lease, err
+		return err
 	}
-	first := !e.peersListed.Swap(true)
+	e.peersListed.Store(true)
 	if e.board.SetPeers(clock.Now(), routers) || first {
-		e.orders.membersChanged()
-		e.upstreams.membersChanged()
 		e.log.WithField("routers", len(routers)).Info("peers changed")
 	}
-	return lease, nil
+	return nil
 }
 
 // receiveDigests reads the counts of peers.
@@ -81,7 +98,7 @@
 	defer stop()
 	buffer := make([]byte, digest.MaxDatagram+1)
 	for {
-		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := e.socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -97,7 +114,7 @@
 			e.hearChanges(now, buffer[1:n])
 			continue
 		}
-		heard, err := e.board.Receive(now, buffer[:n])
+		heard, err := e.board.Receive(now, from.String(), buffer[:n])
 		if err != nil {
 			e.counters.Add("digests_malformed", 1)
 		}
@@ -131,7 +148,7 @@
 // sendDigests sends this router's counts to all peers.
 func (e *Edge) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, max(digestInterval, time.Duration(len(e.board.Routers(clock.Now())))*peerInterval))
+		pause(ctx, digest.Interval(len(e.board.Routers(clock.Now()))))
 		now := clock.Now()
 		changes := e.changeDatagrams(now)
 		e.board.TellSeen(e.health.News())
--- a/internal/host/edge/spread.go
+++ b/internal/host/edge/spread.go
@@ -14,8 +14,10 @@
 	changesFormat = 0x80
 	// maxChanges is how many changes fit in one datagram.
 	maxChanges = 4
-	// repeatFor is how long a change is repeated, to cover lost datagrams.
+	// repeatFor is how long a change is repeated, to cover lost datagrams, and
+	// repeats the same in intervals of datagrams, whichever is longer.
 	repeatFor = 600 * time.Millisecond
+	repeats   = 3
 )
 
 // recentChange is a change that is still repeated.
@@ -41,7 +43,8 @@
 func (e *Edge) changeDatagrams(now clock.Instant) [][]byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.recent) > 0 && now.Sub(e.recent[0].at) > repeatFor {
+	told := max(repeatFor, repeats*digest.Interval(len(e.board.Routers(now))))
+	for len(e.recent) > 0 && now.Sub(e.recent[0].at) > told {
 		e.recent = e.recent[1:]
 	}
 	var datagrams [][]byte
--- a/internal/host/edge/store.go
+++ b/internal/host/edge/store.go
@@ -47,9 +47,9 @@
 	// AwaitUpstreams returns the changes after a revision once there are any, or
 	// none after wait.
 	AwaitUpstreams(ctx context.Context, after uint64, wait time.Duration) ([]UpstreamChange, uint64, error)
-	// Routers lists the registered routers: name and address for peers. The list
-	// may be some seconds old.
-	Routers(ctx context.Context) (map[string]string, error)
+	// Routers lists the registered routers: name and address for peers. Unless it
+	// is to be fresh, the list may be some seconds old, and costs less.
+	Routers(ctx context.Context, fresh bool) (map[string]string, error)
 	// Lease starts a lease.
 	Lease(ctx context.Context, lifetime time.Duration) (uint64, error)
 	// Renew renews a lease; the error is ErrNoLease once it has ended.
--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -13,24 +13,51 @@
 )
 
 const (
-	// loadLifetime is the age after which a peer's counts are ignored: four
-	// missed datagrams.
-	loadLifetime = time.Second
-	// peerLifetime is the silence after which a listed peer no longer counts as
-	// live in the division of fleet-wide sums. It is longer than a pause, since
-	// a router that is counted out too soon makes the others send too much.
-	peerLifetime = 6 * time.Second
+	// leastInterval is how often counts go to peers; at 9 routers it costs about
+	// 1 KB/s each.
+	leastInterval = 200 * time.Millisecond
+	// peerInterval bounds a router's datagrams to 200 a second in a large fleet.
+	peerInterval = 5 * time.Millisecond
+	// loadLifetime is the age after which a peer's counts are ignored, and
+	// loadIntervals the same in intervals of datagrams, whichever is longer.
+	loadLifetime  = time.Second
+	loadIntervals = 3
+	// silence is the time without datagrams after which a peer is taken to be
+	// out of reach, and silentIntervals the same in intervals.
+	silence         = 1500 * time.Millisecond
+	silentIntervals = 4
+	// heardLifetime is the silence after which a peer that is not listed no
+	// longer counts as live in the division of fleet-wide sums. It is longer than
+	// a pause, since a router that is counted out too soon makes the others send
+	// too much.
+	heardLifetime = 6 * time.Second
+	// listedLifetime is how long a listed peer counts as live after the listing.
+	// Routers list each other more often than that.
+	listedLifetime = 10 * time.Second
 	// maxNews bounds the uses that wait for a datagram, two datagrams' worth.
 	maxNews = 128
+	// maxPeers bounds the peers that introduce themselves, four times the size
+	// that the fleet is designed for.
+	maxPeers = 4096
+	// liveRefresh is how long a list of live routers is used before it is built
+	// anew; requests ask for it several times each.
+	liveRefresh = 100 * time.Millisecond
 )
 
+// Interval returns how often a router of a fleet sends its counts.
+func Interval(routers int) time.Duration {
+	return max(leastInterval, time.Duration(routers)*peerInterval)
+}
+
 // peer is another router.
 type peer struct {
 	address string
-	heard   clock.Instant
-	listed  clock.Instant
-	boot    uint64
-	number  uint64
+	// known is when the peer was first listed or heard.
+	known  clock.Instant
+	heard  clock.Instant
+	listed clock.Instant
+	boot   uint64
+	number uint64
 	// stamp is the instant in the peer's time at which it sent what was last
 	// received of it.
 	stamp uint64
@@ -49,6 +76,9 @@
 	news   []prefix.Use
 	seen   []balance.Seen
 	marks  [topics]Mark
+	// live is the list of live routers as of liveAt.
+	live   []string
+	liveAt clock.Instant
 }
 
 // Tell queues the use of a part of a prompt for the next datagram. Uses beyond
@@ -95,12 +125,13 @@
 	loads, own = make([]int, len(upstreams)), make([]int, len(upstreams))
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	lifetime := max(loadLifetime, loadIntervals*Interval(len(b.peers)+1))
 	for i, u := range upstreams {
 		key := xxhash.Sum64String(u)
 		own[i] = b.own[key]
 		loads[i] = own[i]
 		for _, p := range b.peers {
-			if p.heard != 0 && now.Sub(p.heard) < loadLifetime {
+			if p.heard != 0 && now.Sub(p.heard) < lifetime {
 				loads[i] += p.loads[key]
 			}
 		}
@@ -108,24 +139,26 @@
 	return loads, own
 }
 
-// SetPeers replaces the list of the other routers, by name and address.
+// SetPeers replaces the list of the other routers, by name and address. The
+// list may be old, so a peer that is missing stays while it is heard from.
 func (b *Board) SetPeers(now clock.Instant, addresses map[string]string) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.liveAt = 0
 	for name, address := range addresses {
 		if name == b.self {
 			continue
 		}
 		p := b.peers[name]
-		if p == nil || p.address != address {
-			b.peers[name] = &peer{address: address, listed: now}
+		if p == nil || p.address != address && !p.speaks(now, heardLifetime) {
+			b.peers[name] = &peer{address: address, known: now, listed: now}
 			changed = true
 			continue
 		}
 		p.listed = now
 	}
-	for name := range b.peers {
-		if _, ok := addresses[name]; !ok {
+	for name, p := range b.peers {
+		if _, ok := addresses[name]; !ok && !p.speaks(now, heardLifetime) {
 			delete(b.peers, name)
 			changed = true
 		}
@@ -133,14 +166,38 @@
 	return changed
 }
 
-// Routers returns the names of the live routers, this one included. A peer is
-// live while it is listed or heard from.
+// speaks reports whether the peer was heard from within a time.
+func (p *peer) speaks(now clock.Instant, within time.Duration) bool {
+	return p.heard != 0 && now.Sub(p.heard) < within
+}
+
+// Routers returns the names of the live routers, this one included, sorted. A
+// peer is live while it is listed or heard from. The list must not be changed.
 func (b *Board) Routers(now clock.Instant) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.liveAt == 0 || now.Sub(b.liveAt) >= liveRefresh {
+		b.liveAt = now
+		b.live = b.names(func(p *peer) bool {
+			return p.speaks(now, heardLifetime) || p.listed != 0 && now.Sub(p.listed) < listedLifetime
+		})
+	}
+	return b.live
+}
+
+// Reachable returns the names of the routers that exchange datagrams with this
+// one, this one included, sorted. A new peer has some time to be heard from.
+func (b *Board) Reachable(now clock.Instant) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := max(silence, silentIntervals*Interval(len(b.peers)+1))
+	return b.names(func(p *peer) bool { return now.Sub(max(p.heard, p.known)) < limit })
+}
+
+func (b *Board) names(chosen func(*peer) bool) []string {
 	names := []string{b.self}
 	for name, p := range b.peers {
-		if now.Sub(max(p.heard, p.listed)) < peerLifetime {
+		if chosen(p) {
 			names = append(names, name)
 		}
 	}
--- a/internal/router/digest/board_test.go
+++ b/internal/router/digest/board_test.go
@@ -19,7 +19,7 @@
 
 func deliver(t *testing.T, to *Board, now clock.Instant, content []byte) Heard {
 	t.Helper()
-	h, err := to.Receive(now, content)
+	h, err := to.Receive(now, "10.0.0.9:1", content)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,14 +94,61 @@
 // falls silent, and against counting it for ever.
 func TestRouters(t *testing.T) {
 	a, _ := pair()
-	if got := len(a.Routers(clock.Instant(peerLifetime))); got != 2 {
+	if got := len(a.Routers(clock.Instant(listedLifetime))); got != 2 {
 		t.Errorf("%d routers while the peer is listed, want 2", got)
 	}
-	if got := len(a.Routers(clock.Instant(2 * peerLifetime))); got != 1 {
+	if got := len(a.Routers(clock.Instant(2 * listedLifetime))); got != 1 {
 		t.Errorf("%d routers long after, want 1", got)
 	}
 }
 
+// TestIntroduction guards against a fleet whose routers do not know each other
+// while the store's list is old: a router introduces itself by its datagrams and
+// is not dropped by a list without it, until it falls silent.
+func TestIntroduction(t *testing.T) {
+	a, b := NewBoard("a", 1), NewBoard("b", 1)
+	b.SetPeers(1, map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1"})
+	now := clock.Instant(time.Hour)
+	b.Start("engine")
+	deliver(t, a, now, b.Letters(now)[0].Content())
+	a.SetPeers(now, map[string]string{"a": "10.0.0.1:1"})
+	if got := a.Routers(now); len(got) != 2 {
+		t.Fatalf("routers %v, want the one that introduced itself as well", got)
+	}
+	if l := a.Letters(now); len(l) != 1 || l[0].Address() != "10.0.0.9:1" {
+		t.Errorf("letters %v, want one to the address of the datagram", l)
+	}
+	if all, _ := a.Loads(now, []string{"engine"}); all[0] != 1 {
+		t.Errorf("load %d, want that of the new peer", all[0])
+	}
+	later := now.Add(heardLifetime)
+	a.SetPeers(later, map[string]string{"a": "10.0.0.1:1"})
+	if got := a.Routers(later); len(got) != 1 {
+		t.Errorf("routers %v after the peer fell silent", got)
+	}
+}
+
+// TestReachable guards against a follower that relies on a router which is
+// listed and silent, and against one that watches before its peers could speak.
+func TestReachable(t *testing.T) {
+	a, b := pair()
+	now := clock.Instant(1)
+	if got := a.Reachable(now); len(got) != 2 {
+		t.Errorf("reachable %v, want the new peer", got)
+	}
+	now = now.Add(silence)
+	if got := a.Reachable(now); len(got) != 1 {
+		t.Errorf("reachable %v, want no peer that never spoke", got)
+	}
+	deliver(t, a, now, b.Letters(now)[0].Content())
+	if got := a.Reachable(now); len(got) != 2 {
+		t.Errorf("reachable %v, want the peer that spoke", got)
+	}
+	if got := a.Reachable(now.Add(silence)); len(got) != 1 {
+		t.Errorf("reachable %v, want no silent peer", got)
+	}
+}
+
 // FuzzReceive guards against datagrams that crash a router.
 func FuzzReceive(f *testing.F) {
 	a, b := pair()
@@ -111,6 +158,6 @@
 	f.Add([]byte{format, 200, 1})
 	f.Fuzz(func(_ *testing.T, content []byte) {
 		// Malformed datagrams are errors; nothing may panic.
-		_, _ = a.Receive(10, content)
+		_, _ = a.Receive(10, "10.0.0.9:1", content)
 	})
 }
--- a/internal/router/digest/datagram.go
+++ b/internal/router/digest/datagram.go
@@ -109,9 +109,10 @@
 // Uses returns the uses of parts of prompts that the peer saw.
 func (h Heard) Uses() []prefix.Use { return h.uses }
 
-// Receive applies a datagram of a peer. Datagrams of routers that are not
-// listed and those that arrive out of order are ignored.
-func (b *Board) Receive(now clock.Instant, d []byte) (Heard, error) {
+// Receive applies a datagram that came from an address. A router that is not
+// listed yet introduces itself by its datagrams. Those that arrive out of order
+// are ignored.
+func (b *Board) Receive(now clock.Instant, from string, d []byte) (Heard, error) {
 	if len(d) < 2 || d[0] != format || len(d) < 2+int(d[1])+fixedBytes {
 		return Heard{}, errMalformed
 	}
@@ -145,9 +146,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[name]
+	if p == nil && name != b.self && len(b.peers) < maxPeers {
+		p = &peer{address: from, known: now}
+		b.peers[name] = p
+		b.liveAt = 0
+	}
 	if p == nil || boot < p.boot || boot == p.boot && number <= p.number {
 		return Heard{}, nil
 	}
+	p.address = from
 	p.boot, p.number, p.heard, p.stamp, p.loads = boot, number, now, stamp, loads
 	return h, nil
 }
