Relay long answers as they come, and keep the configured limit on headers

Headers above 64 KB got a 431 of net/http's, whatever the operators allow.

Up to 1 MB is read before the answer is relayed, the rest as it comes; an answer that breaks off later breaks the caller's connection. The stall limit counts from the last piece. The size of a header is checked against the configuration, and the server's own limit is 1 MB. HEAD keeps the upstream's Content-Length.

--- a/internal/caller/front/server.go
+++ b/internal/caller/front/server.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// maxHeader bounds the header of a request in bytes. Configurations bound
-	// it further, but the server's limit is fixed when it starts.
-	maxHeader = 64 << 10
-	// headerTimeout bounds the time for a header, for the same reason.
+	// maxHeader bounds the header of a request in bytes, whatever the
+	// configuration allows. It protects the host's memory.
+	maxHeader = 1 << 20
+	// headerTimeout bounds the time for a header. The server's limit is fixed
+	// when it starts, so it is longer than configurations usually allow.
 	headerTimeout = 10 * time.Second
 	// balancerLag is the time after which the balancer, which takes a router out
 	// after two failed checks a second apart, sends no new connections.
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -17,6 +17,10 @@
 		j.refuse("no configuration", retrySoon)
 		return false
 	}
+	if limit := j.table.Limits().HeaderBytes; limit > 0 && headerBytes(j.request.Header) > limit {
+		j.reject(http.StatusRequestHeaderFieldsTooLarge, "header too large")
+		return false
+	}
 	path, _, _ := strings.Cut(j.request.RequestURI, "?")
 	j.route = j.table.Match(j.request.Host, path)
 	if j.route == nil {
@@ -34,6 +38,17 @@
 	return true
 }
 
+// headerBytes returns the size of the names and values of a header.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // authorize finds the workspace of the request's key.
 func (j *job) authorize() bool {
 	if !j.table.NeedsKey(j.route) {
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -18,10 +18,14 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/plain"
 )
 
-// maxReply bounds the answers that are read whole before they are relayed, in
-// bytes; longer ones count as failed.
+// maxReply bounds what is read of an answer before it is relayed, in bytes. A
+// longer answer is relayed as it comes, so it cannot be replaced any more.
 const maxReply = 1 << 20
 
+// relayBuffer is the size of the pieces in which a long answer is relayed, in
+// bytes.
+const relayBuffer = 32 << 10
+
 // reply is a complete answer of an upstream.
 type reply struct {
 	status int
@@ -119,34 +123,70 @@
 	return j.whole(u, res)
 }
 
-// whole reads a complete answer and relays it.
+// whole reads an answer, up to a limit, and relays it.
 func (j *job) whole(u *directory.Upstream, res *http1.Response) error {
-	body, err := io.ReadAll(io.LimitReader(res, maxReply+1))
-	if err == nil && len(body) > maxReply {
-		err = errors.New("answer exceeds the size limit")
-	}
+	body, err := io.ReadAll(io.LimitReader(res, maxReply))
 	if err != nil {
 		return j.failed(u, verdict.Errorf(verdict.Ran, "read answer of %s: %w", u.ID(), err))
 	}
 	r := &reply{status: res.Status(), header: plain.EndToEnd(res.Header()), body: body}
 	if res.Status() >= 500 && j.route.MayRepeat() {
-		j.held = r
+		if len(body) < maxReply {
+			j.held = r
+		}
 		return j.failed(u, verdict.Errorf(verdict.Ran, "upstream %s answered %d", u.ID(), res.Status()))
 	}
-	if res.Status() < 500 {
-		j.Health.OK(clock.Now(), u.ID())
-	}
 	if j.begun {
 		return verdict.Errorf(verdict.Ran, "upstream %s answered the resumption with %d", u.ID(), res.Status())
 	}
+	if len(body) == maxReply {
+		return j.rest(u, res, r)
+	}
+	j.succeeded(u, res)
 	j.relay(r)
 	return nil
 }
 
+// succeeded notes an answer that is no failure of the upstream's own.
+func (j *job) succeeded(u *directory.Upstream, res *http1.Response) {
+	if res.Status() < 500 {
+		j.Health.OK(clock.Now(), u.ID())
+	}
+}
+
+// rest relays a long answer, of which the beginning has been read, as it comes.
+func (j *job) rest(u *directory.Upstream, res *http1.Response, beginning *reply) error {
+	j.begun = true
+	copyHeader(j.writer.Header(), beginning.header)
+	j.status = beginning.status
+	j.writer.WriteHeader(beginning.status)
+	chunk := beginning.body
+	buffer := make([]byte, relayBuffer)
+	for {
+		// A slow caller must not count as a silent upstream.
+		j.stall.Stop()
+		if _, err := j.writer.Write(chunk); err != nil {
+			return verdict.Errorf(verdict.Ran, "%w: %w", errLeft, err)
+		}
+		j.stall.Reset(j.patience())
+		n, err := res.Read(buffer)
+		chunk = buffer[:n]
+		if errors.Is(err, io.EOF) && n == 0 {
+			j.succeeded(u, res)
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return j.failed(u, verdict.Errorf(verdict.Ran, "answer of %s broke off: %w", u.ID(), err))
+		}
+	}
+}
+
 // relay sends a complete answer to the caller.
 func (j *job) relay(r *reply) {
 	copyHeader(j.writer.Header(), r.header)
-	j.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	if j.request.Method != http.MethodHead {
+		j.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	}
 	j.status = r.status
 	j.writer.WriteHeader(r.status)
 	if _, err := j.writer.Write(r.body); err != nil {
--- a/internal/router/route/table.go
+++ b/internal/router/route/table.go
@@ -34,10 +34,12 @@
 
 // Limits bound what callers may send and how long they may take.
 type Limits struct {
+	// HeaderBytes bounds the names and values of a header, 0 for no bound.
+	HeaderBytes int
 	// BodyBytes bounds a body, 0 for no bound.
 	BodyBytes int
 	// IdleTimeout bounds the time between requests of a connection, 0 for no
-	// bound. Headers are bounded by the server's fixed limits.
+	// bound.
 	IdleTimeout time.Duration
 }
 
