--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -78,8 +78,6 @@
 
 	mu   sync.Mutex
 	lost map[string]bool
-	// recent are the changes of upstreams that are still told to peers.
-	recent []recentChange
 }
 
 // New returns a router that is not running yet.
@@ -160,6 +158,7 @@
 	m.Set("requests", e.metrics)
 	m.Set("counters", e.counters)
 	m.Set("store_calls", expvar.Func(func() any { return e.store.Calls() }))
+	m.Set("store_bytes", expvar.Func(func() any { return e.store.Received() }))
 	m.Set("upstream_connections", expvar.Func(func() any { return e.pools.Dials() }))
 	m.Set("routers", expvar.Func(func() any { return len(e.board.Routers(clock.Now())) }))
 	m.Set("config_age_ms", expvar.Func(func() any { return e.authority.Age(clock.Now()).Milliseconds() }))
@@ -203,6 +202,8 @@
 // summarize logs counters, which tell the volume of control traffic.
 func (e *Edge) summarize(now clock.Instant) {
 	f := logrus.Fields{"routers": len(e.board.Routers(now)), "dials": e.pools.Dials()}
+	e.counters.Do(func(v expvar.KeyValue) { f[v.Key] = v.Value.String() })
+	f["store_bytes"] = e.store.Received()
 	for path, n := range e.store.Calls() {
 		f["calls "+path] = n
 	}
--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -52,7 +52,7 @@
 func (f *feed) set(m digest.Mark) digest.Mark {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.mark.Hash = m.Hash
+	f.mark.Hash, f.mark.Revision = m.Hash, m.Revision
 	f.mark.Confirmed = max(f.mark.Confirmed, m.Confirmed)
 	f.read = max(f.read, m.Confirmed)
 	select {
@@ -71,6 +71,21 @@
 	return f.mark
 }
 
+// revision returns the store's revision up to which the state holds all
+// changes, 0 if it must be read whole.
+func (f *feed) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mark.Revision
+}
+
+// forget makes the next read a whole one.
+func (f *feed) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mark.Revision = 0
+}
+
 // hear takes a peer's mark and reports whether it confirms this router's state.
 // A different state that is newer, and stays different for the settling time,
 // wakes the follower.
@@ -82,6 +97,7 @@
 	}
 	if m.Hash == f.mark.Hash {
 		f.mark.Confirmed = max(f.mark.Confirmed, m.Confirmed)
+		f.mark.Revision = max(f.mark.Revision, m.Revision)
 		f.differs = 0
 		return true
 	}
@@ -103,11 +119,11 @@
 
 // await returns once the store should be asked: at once for a watcher, and
 // otherwise for a change that a peer told of or when told nothing for long. It
-// reports whether the state must be read whole.
-func (e *Edge) await(ctx context.Context, f *feed) (whole bool) {
+// reports whether this router watches.
+func (e *Edge) await(ctx context.Context, f *feed) (watching bool) {
 	for ctx.Err() == nil {
 		if e.watches(f.topic) {
-			return false
+			return true
 		}
 		f.mu.Lock()
 		left := f.patience - clock.Since(f.mark.Confirmed)
@@ -115,7 +131,7 @@
 		f.mu.Unlock()
 		if !known || left <= 0 {
 			e.log.WithFields(logrus.Fields{"topic": feedName[f.topic], "known": known, "overdue_ms": -left.Milliseconds()}).Info("asks store, not told in time")
-			return true
+			return false
 		}
 		t := time.NewTimer(min(left, watchCheck))
 		select {
@@ -123,12 +139,12 @@
 		case <-f.wake:
 			t.Stop()
 			e.log.WithField("topic", feedName[f.topic]).Info("asks store, told of a change")
-			return true
+			return false
 		case <-t.C:
 		}
 		t.Stop()
 	}
-	return true
+	return false
 }
 
 // watches reports whether this router follows a topic in the store. A router
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -21,6 +21,13 @@
 	ordersWait = 500 * time.Millisecond
 	// upstreamsWait is how long a call waits for a change of the upstreams.
 	upstreamsWait = 400 * time.Millisecond
+	// leastWait is the wait of a call for what has changed already; the store
+	// answers at once.
+	leastWait = time.Millisecond
+	// rumourPeers is how many peers a router tells of a change that is news to it.
+	// Each router hears of it about as often, so that one in 3,000 misses it and
+	// reads it from the store.
+	rumourPeers = 8
 	// upstreamsPause gathers the heartbeats of many upstreams in one call.
 	upstreamsPause = 400 * time.Millisecond
 	// retryPause is the pause after a failed call to the store. It doubles up to
@@ -37,7 +44,7 @@
 func (e *Edge) followOrders(ctx context.Context) error {
 	var revision uint64
 	for ctx.Err() == nil {
-		if e.await(ctx, e.orders) {
+		if !e.await(ctx, e.orders) {
 			revision = 0
 		}
 		next, err := e.stepOrders(ctx, clock.Now(), revision)
@@ -97,73 +104,107 @@
 
 // followUpstreams keeps the directory up to date.
 func (e *Edge) followUpstreams(ctx context.Context) error {
-	var revision uint64
 	away := false
 	for ctx.Err() == nil {
-		if e.await(ctx, e.upstreams) {
-			revision = 0
-		}
-		next, err := e.stepUpstreams(ctx, revision, away)
+		watching := e.await(ctx, e.upstreams)
+		err := e.stepUpstreams(ctx, watching, away)
 		e.dependency("upstreams", err)
+		if errors.Is(err, ErrCompacted) {
+			e.upstreams.forget()
+		}
 		away = err != nil && (away || !errors.Is(err, ErrCompacted))
 		e.afterCall(ctx, digest.Upstreams, err)
-		if revision != 0 && err == nil {
+		if watching && err == nil {
 			pause(ctx, upstreamsPause)
 		}
-		revision = next
 	}
 	return ctx.Err()
 }
 
-// stepUpstreams makes one call for the upstreams after a revision, 0 to list
-// them, and returns the revision that the directory is up to date with. away
-// tells that the store did not answer the call before.
-func (e *Edge) stepUpstreams(ctx context.Context, revision uint64, away bool) (uint64, error) {
+// stepUpstreams makes one call that brings the directory up to date; a watching
+// router waits for changes. away tells that the store did not answer the call
+// before.
+func (e *Edge) stepUpstreams(ctx context.Context, watching, away bool) error {
 	sent := clock.Now()
-	if revision == 0 {
+	after := e.upstreams.revision()
+	if after == 0 {
 		entries, at, err := e.store.Upstreams(ctx)
 		if err != nil {
-			return 0, err
-		}
-		now := clock.Now()
-		if away {
-			e.directory.Outage(now)
+			return err
 		}
-		e.logChanges(e.directory.Replace(now, entries, at), at)
+		e.returned(away)
+		e.logChanges(e.directory.Replace(clock.Now(), entries, at), at)
 		e.listed.Store(true)
-		e.confirmUpstreams(sent)
-		return at, nil
+		e.confirmUpstreams(sent, at)
+		return nil
 	}
-	changes, at, err := e.store.AwaitUpstreams(ctx, revision, upstreamsWait)
+	wait := leastWait
+	if watching {
+		wait = upstreamsWait
+	}
+	updates, at, err := e.store.AwaitUpstreams(ctx, after, wait)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	e.returned(away)
+	if news := e.apply(clock.Now(), updates); watching {
+		e.spread(news)
+	}
+	e.confirmUpstreams(sent, at)
+	return nil
+}
+
+// returned notes that the store answers again after it did not.
+func (e *Edge) returned(away bool) {
+	if away {
+		e.directory.Outage(clock.Now())
+	}
+}
+
+// apply applies changes and returns those that were news.
+func (e *Edge) apply(now clock.Instant, updates []directory.Update) []directory.Update {
+	if len(updates) == 0 {
+		return nil
+	}
+	changes, news := e.directory.Apply(now, updates)
+	e.logChanges(changes, updates[len(updates)-1].Revision)
+	return news
+}
+
+// spread tells some peers of changes; those for whom they are news tell others.
+func (e *Edge) spread(news []directory.Update) {
+	if len(news) == 0 {
+		return
+	}
+	datagrams, err := digest.Rumours(news)
+	if err != nil {
+		e.log.WithError(err).Warn("changes of upstreams not told to peers")
+		return
 	}
-	now := clock.Now()
-	for _, c := range changes {
-		if e.apply(now, c) && e.watches(digest.Upstreams) {
-			e.spread(now, c)
+	for _, address := range e.board.Sample(clock.Now(), rumourPeers) {
+		for _, content := range datagrams {
+			e.send(address, content)
 		}
 	}
-	e.confirmUpstreams(sent)
-	return at, nil
 }
 
-// apply applies one change and reports whether the directory differs by it.
-func (e *Edge) apply(now clock.Instant, c UpstreamChange) bool {
-	before := e.directory.Hash()
-	var changes []directory.Change
-	if c.Entry == nil {
-		changes = e.directory.Remove(now, c.ID, c.Revision)
-	} else {
-		changes = e.directory.Put(now, *c.Entry)
-	}
-	e.logChanges(changes, c.Revision)
-	return e.directory.Hash() != before
+// hearRumours applies changes that a peer has told.
+func (e *Edge) hearRumours(now clock.Instant, content []byte) {
+	updates, err := digest.ReadRumours(content)
+	if err != nil {
+		e.counters.Add("rumours_malformed", 1)
+		return
+	}
+	if news := e.apply(now, updates); len(news) > 0 {
+		e.board.SetMark(digest.Upstreams, e.upstreams.setHash(e.directory.Hash()))
+		e.spread(news)
+	}
 }
 
-// confirmUpstreams notes that the directory is up to date as of an instant.
-func (e *Edge) confirmUpstreams(sent clock.Instant) {
-	e.board.SetMark(digest.Upstreams, e.upstreams.set(digest.Mark{Hash: e.directory.Hash(), Confirmed: sent}))
+// confirmUpstreams notes that the directory holds all changes up to a revision,
+// as of an instant.
+func (e *Edge) confirmUpstreams(sent clock.Instant, revision uint64) {
+	e.board.SetMark(digest.Upstreams, e.upstreams.set(digest.Mark{Hash: e.directory.Hash(), Revision: revision, Confirmed: sent}))
 }
 
 // afterCall pauses after a failed call, longer with each failure in a row for
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -109,9 +109,10 @@
 			}
 			return fmt.Errorf("receive digests: %w", err)
 		}
+		e.counters.Add("digest_bytes_received", int64(n))
 		now := clock.Now()
-		if n > 0 && buffer[0] == changesFormat {
-			e.hearChanges(now, buffer[1:n])
+		if digest.IsRumours(buffer[:n]) {
+			e.hearRumours(now, buffer[:n])
 			continue
 		}
 		heard, err := e.board.Receive(now, from.String(), buffer[:n])
@@ -122,13 +123,18 @@
 	}
 }
 
-func (e *Edge) send(address string, content []byte) error {
+// send sends a datagram to a peer. What cannot be sent is counted: the next
+// datagram tells the same.
+func (e *Edge) send(address string, content []byte) {
 	to, err := netip.ParseAddrPort(address)
+	if err == nil {
+		_, err = e.socket.WriteToUDPAddrPort(content, to)
+	}
 	if err != nil {
-		return fmt.Errorf("address of a peer: %w", err)
+		e.counters.Add("digests_unsent", 1)
+		return
 	}
-	_, err = e.socket.WriteToUDPAddrPort(content, to)
-	return err
+	e.counters.Add("digest_bytes_sent", int64(len(content)))
 }
 
 // hear takes in what a peer tells.
@@ -145,19 +151,14 @@
 	e.upstreams.hear(now, h.Mark(digest.Upstreams))
 }
 
-// sendDigests sends this router's counts to all peers.
+// sendDigests sends this router's counts to the peers whose turn it is.
 func (e *Edge) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, digest.Interval(len(e.board.Routers(clock.Now()))))
+		pause(ctx, digest.SendInterval)
 		now := clock.Now()
-		changes := e.changeDatagrams(now)
 		e.board.TellSeen(e.health.News())
 		for _, l := range e.board.Letters(now) {
-			for _, content := range append(changes, l.Content()) {
-				if err := e.send(l.Address(), content); err != nil {
-					e.counters.Add("digests_unsent", 1)
-				}
-			}
+			e.send(l.Address(), l.Content())
 		}
 	}
 	return ctx.Err()
--- a/internal/host/edge/store.go
+++ b/internal/host/edge/store.go
@@ -24,15 +24,6 @@
 	Evacuated map[string]bool
 }
 
-// UpstreamChange is one change of the registered upstreams.
-type UpstreamChange struct {
-	ID string
-	// Entry is the new registration, nil if it was removed or names no upstream.
-	Entry *directory.Entry
-	// Revision orders the changes.
-	Revision uint64
-}
-
 // Store is the platform's store, seen as what a router needs. Revisions order
 // all changes. An error of a read leaves nothing done; one of a write leaves
 // open whether it was done.
@@ -46,7 +37,7 @@
 	Upstreams(ctx context.Context) ([]directory.Entry, uint64, error)
 	// AwaitUpstreams returns the changes after a revision once there are any, or
 	// none after wait.
-	AwaitUpstreams(ctx context.Context, after uint64, wait time.Duration) ([]UpstreamChange, uint64, error)
+	AwaitUpstreams(ctx context.Context, after uint64, wait time.Duration) ([]directory.Update, uint64, error)
 	// Routers lists the registered routers: name and address for peers. Unless it
 	// is to be fresh, the list may be some seconds old, and costs less.
 	Routers(ctx context.Context, fresh bool) (map[string]string, error)
@@ -60,4 +51,6 @@
 	Leave(ctx context.Context, lease uint64) error
 	// Calls returns the number of calls so far by name.
 	Calls() map[string]int64
+	// Received returns the bytes of all answers so far.
+	Received() int64
 }
--- a/internal/router/balance/balance.go
+++ b/internal/router/balance/balance.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-
-	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
 )
 
 const (
@@ -18,13 +16,15 @@
 	evenSlack = 1.5
 )
 
-// Closed describes the upstreams of a service that take no new work, since they
-// leave or their failure domain is out of service. The mean load of the service
-// includes them.
-type Closed struct {
-	Count int
-	// Load is the number of requests still in progress there.
-	Load int
+// Service sums up all upstreams of a service.
+type Service struct {
+	// Open counts the upstreams that take new work, and OpenLoad the requests in
+	// progress there.
+	Open, OpenLoad int
+	// Closed counts those that take none, since they leave or their failure
+	// domain is out of service, and ClosedLoad the requests still in progress
+	// there. The mean load of the service includes them.
+	Closed, ClosedLoad int
 }
 
 // Candidate is one upstream that may receive a request.
@@ -70,28 +70,23 @@
 	return int(math.Floor(loadFactor*float64(total+1)/float64(n) + loadSlack))
 }
 
-// Affine picks the first candidate in rendezvous order of the key whose load
-// is within the bound, so that all routers send equal prefixes to the same
-// engine, and to the same next one when that is full.
-func Affine(key string, candidates []Candidate, closed Closed) Choice {
+// Affine picks the first candidate whose load is within the bound. Candidates
+// stand in rendezvous order of what the requests share, so that all routers send
+// equal prefixes to the same engine, and to the same next one when that is full.
+// They may be the first ones only of a large service.
+func Affine(candidates []Candidate, service Service) Choice {
 	usable := usable(candidates)
 	if len(usable) == 0 {
 		return none
 	}
-	names := make([]string, len(usable))
-	index := map[string]int{}
-	for i, c := range usable {
-		names[i] = candidates[c].ID
-		index[names[i]] = c
-	}
-	bound := affineBound(candidates, usable, closed)
-	for rank, name := range place.Order(place.Key(key), names) {
-		if candidates[index[name]].Load+1 <= bound {
+	bound := affineBound(service, float64(len(usable))/float64(len(candidates)))
+	for rank, c := range usable {
+		if candidates[c].Load+1 <= bound {
 			reason := "home"
 			if rank > 0 {
 				reason = "spill"
 			}
-			return Choice{Index: index[name], Reason: reason, Bound: bound}
+			return Choice{Index: c, Reason: reason, Bound: bound}
 		}
 	}
 	c := least(candidates, usable)
@@ -100,19 +95,13 @@
 }
 
 // affineBound returns the highest load that an affine choice allows: the bound
-// over the whole service, which upstreams without new work lower, or over the
-// usable ones if that is lower, and in any case a little more than an even
-// share of the load.
-func affineBound(candidates []Candidate, usable []int, closed Closed) int {
-	open, all := 0, closed.Load
-	for _, c := range usable {
-		open += candidates[c].Load
-	}
-	for _, c := range candidates {
-		all += c.Load
-	}
-	bound := min(Bound(open, len(usable)), Bound(all, len(candidates)+closed.Count))
-	even := float64(open+1)/float64(len(usable)) + evenSlack
+// over the whole service or over the usable share of its open upstreams,
+// whichever is lower, and in any case a little more than an even share of the
+// load.
+func affineBound(s Service, usable float64) int {
+	open := max(1, int(math.Round(usable*float64(s.Open))))
+	bound := min(Bound(s.OpenLoad, open), Bound(s.OpenLoad+s.ClosedLoad, s.Open+s.Closed))
+	even := float64(s.OpenLoad+1)/float64(open) + evenSlack
 	return max(bound, int(math.Ceil(even)))
 }
 
@@ -146,20 +135,20 @@
 // the healthy ones, or all if most are suspect, since the few that are left
 // would be overloaded.
 func usable(candidates []Candidate) []int {
-	var healthy, suspect []int
+	var free, healthy []int
 	for i, c := range candidates {
-		switch {
-		case c.Held:
-		case c.Suspect:
-			suspect = append(suspect, i)
-		default:
+		if c.Held {
+			continue
+		}
+		free = append(free, i)
+		if !c.Suspect {
 			healthy = append(healthy, i)
 		}
 	}
-	if len(healthy) >= len(suspect) {
+	if 2*len(healthy) >= len(free) {
 		return healthy
 	}
-	return append(healthy, suspect...)
+	return free
 }
 
 // least returns the candidate with the smallest load for each slot.
--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
@@ -42,7 +44,8 @@
 		var choice Choice
 		switch td.Cmd {
 		case "affine":
-			choice = Affine(td.CmdArgs[0].Key, list, Closed{})
+			list = ordered(td.CmdArgs[0].Key, list)
+			choice = Affine(list, serviceOf(list))
 		case "spread":
 			var draw uint64
 			td.ScanArgs(t, "draw", &draw)
@@ -77,10 +80,12 @@
 			if i%100 < 28 {
 				key = "hot"
 			}
-			choice := Affine(key, candidates, Closed{})
-			if !bounded {
-				choice = home(key, candidates)
+			order := ordered(key, candidates)
+			choice := Choice{Index: 0, Reason: "home"}
+			if bounded {
+				choice = Affine(order, serviceOf(candidates))
 			}
+			choice.Index = slices.IndexFunc(candidates, func(c Candidate) bool { return c.ID == order[choice.Index].ID })
 			if choice.Reason == "spill" && key != "hot" {
 				spilled++
 			}
@@ -110,7 +115,7 @@
 // the naive bound over the candidates alone lets through.
 func TestClosedDomain(t *testing.T) {
 	const open, closed, requests, duration = 7, 4, 6000, 60
-	exceeded := func(known Closed) float64 {
+	exceeded := func(known int) float64 {
 		random := rand.New(rand.NewPCG(1, 2))
 		candidates := make([]Candidate, open)
 		for i := range candidates {
@@ -125,7 +130,11 @@
 			if c := ends[i%duration]; c >= 0 {
 				candidates[c].Load--
 			}
-			c := Affine(fmt.Sprint("document-", int(random.ExpFloat64()*12)), candidates, known).Index
+			order := ordered(fmt.Sprint("document-", int(random.ExpFloat64()*12)), candidates)
+			service := serviceOf(candidates)
+			service.Closed = known
+			first := order[Affine(order, service).Index].ID
+			c := slices.IndexFunc(candidates, func(c Candidate) bool { return c.ID == first })
 			if float64(candidates[c].Load) > 2*float64(duration)/(open+closed)+3 {
 				over++
 			}
@@ -134,10 +143,10 @@
 		}
 		return float64(over) / requests
 	}
-	if share := exceeded(Closed{Count: closed}); share > 0.03 {
+	if share := exceeded(closed); share > 0.03 {
 		t.Errorf("%.3f of the requests met an engine over the limit", share)
 	}
-	if share := exceeded(Closed{}); share <= 0.03 {
+	if share := exceeded(0); share <= 0.03 {
 		t.Errorf("the naive bound lets only %.3f through, so the load shows nothing", share)
 	}
 }
@@ -194,19 +203,25 @@
 	}
 }
 
-// home is the naive version: always the first engine in rendezvous order.
-func home(key string, candidates []Candidate) Choice {
-	names := make([]string, len(candidates))
-	for i, c := range candidates {
-		names[i] = c.ID
+// ordered returns the candidates in rendezvous order of a key.
+func ordered(key string, list []Candidate) []Candidate {
+	order := place.Leaders(place.Key(key), len(list), len(list), func(i int) (uint64, bool) {
+		return xxhash.Sum64String(list[i].ID), true
+	})
+	sorted := make([]Candidate, len(list))
+	for i, c := range order {
+		sorted[i] = list[c]
 	}
-	first := place.First(place.Key(key), names)
-	for i, n := range names {
-		if n == first {
-			return Choice{Index: i}
-		}
+	return sorted
+}
+
+// serviceOf sums up a service whose upstreams all are candidates.
+func serviceOf(list []Candidate) Service {
+	s := Service{Open: len(list)}
+	for _, c := range list {
+		s.OpenLoad += c.Load
 	}
-	return none
+	return s
 }
 
 // TestBound guards against a bound above twice the mean and 3, from which the
--- a/internal/router/balance/health.go
+++ b/internal/router/balance/health.go
@@ -22,6 +22,9 @@
 	// failureLimit is the average above which an upstream is avoided although
 	// it accepts connections: about four failures in a row.
 	failureLimit = 0.5
+	// soundLimit is the average of failures below which answers are of no interest
+	// to peers.
+	soundLimit = 0.02
 	// maxCount bounds a count of Seen, which peers get as one byte.
 	maxCount = 255
 )
@@ -106,12 +109,16 @@
 	}
 }
 
-// News returns the outcomes since the last call.
+// News returns the outcomes since the last call, those of upstreams that only
+// answer left out.
 func (h *Health) News() []Seen {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var news []Seen
 	for key, r := range h.records {
+		if r.sound() {
+			r.seen = Seen{}
+		}
 		if r.seen != (Seen{}) {
 			s := r.seen
 			s.Upstream = key
@@ -153,6 +160,11 @@
 	return r
 }
 
+// sound reports whether nothing but answers is known of the upstream.
+func (r *record) sound() bool {
+	return r.seen.Failed == 0 && r.seen.Unreachable == 0 && r.failures < soundLimit && r.ejections == 0
+}
+
 func (r *record) succeed() {
 	r.failures *= 1 - failureWeight
 	r.ejections = 0
--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -1,6 +1,8 @@
 package digest
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,17 +15,19 @@
 )
 
 const (
-	// leastInterval is how often counts go to peers; at 9 routers it costs about
-	// 1 KB/s each.
-	leastInterval = 200 * time.Millisecond
+	// SendInterval is how often a router sends datagrams, to as many peers as
+	// peerInterval allows.
+	SendInterval = 200 * time.Millisecond
 	// peerInterval bounds a router's datagrams to 200 a second in a large fleet.
 	peerInterval = 5 * time.Millisecond
-	// loadLifetime is the age after which a peer's counts are ignored, and
-	// loadIntervals the same in intervals of datagrams, whichever is longer.
-	loadLifetime  = time.Second
-	loadIntervals = 3
+	// batch is how many datagrams peerInterval allows in one SendInterval.
+	batch = int(SendInterval / peerInterval)
+	// loadLifetime is the age after which a peer's counts are ignored: four
+	// missed datagrams in a small fleet.
+	loadLifetime = time.Second
 	// silence is the time without datagrams after which a peer is taken to be
-	// out of reach, and silentIntervals the same in intervals.
+	// out of reach, and silentIntervals the same in intervals, whichever is
+	// longer.
 	silence         = 1500 * time.Millisecond
 	silentIntervals = 4
 	// heardLifetime is the silence after which a peer that is not listed no
@@ -36,17 +40,21 @@
 	listedLifetime = 10 * time.Second
 	// maxNews bounds the uses that wait for a datagram, two datagrams' worth.
 	maxNews = 128
+	// maxSeen bounds the outcomes that wait for a datagram.
+	maxSeen = 256
 	// maxPeers bounds the peers that introduce themselves, four times the size
 	// that the fleet is designed for.
 	maxPeers = 4096
 	// liveRefresh is how long a list of live routers is used before it is built
 	// anew; requests ask for it several times each.
 	liveRefresh = 100 * time.Millisecond
+	// ageRefresh is how often counts are checked against loadLifetime.
+	ageRefresh = 50 * time.Millisecond
 )
 
-// Interval returns how often a router of a fleet sends its counts.
+// Interval returns how often a router of a fleet sends its counts to each peer.
 func Interval(routers int) time.Duration {
-	return max(leastInterval, time.Duration(routers)*peerInterval)
+	return max(SendInterval, time.Duration(routers)*peerInterval)
 }
 
 // peer is another router.
@@ -62,6 +70,8 @@
 	// received of it.
 	stamp uint64
 	loads map[uint64]int
+	// counted tells that loads are part of the board's sums.
+	counted bool
 }
 
 // Board is the counts of all routers. It is safe for concurrent use.
@@ -73,34 +83,59 @@
 	number uint64
 	own    map[uint64]int
 	peers  map[string]*peer
-	news   []prefix.Use
-	seen   []balance.Seen
-	marks  [topics]Mark
+	// sums are the counts of the peers that are counted.
+	sums    map[uint64]int
+	counted int
+	checked clock.Instant
+	// next is the name of the peer that was last sent to.
+	next  string
+	news  []news
+	seen  []seen
+	marks [topics]Mark
 	// live is the list of live routers as of liveAt.
 	live   []string
 	liveAt clock.Instant
 }
 
-// Tell queues the use of a part of a prompt for the next datagram. Uses beyond
-// maxNews are left out; peers then compute what they could have copied.
+// news is a use that is told to all peers, round after round.
+type news struct {
+	prefix.Use
+	rounds int
+}
+
+// seen is an outcome that is told to all peers, round after round.
+type seen struct {
+	balance.Seen
+	rounds int
+}
+
+// Tell queues the use of a part of a prompt for the next datagram to each peer.
+// Uses beyond maxNews are left out; peers then compute what they could have
+// copied.
 func (b *Board) Tell(u prefix.Use) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.news) < maxNews {
-		b.news = append(b.news, u)
+		b.news = append(b.news, news{u, b.rounds()})
 	}
 }
 
-// TellSeen sets the outcomes for the next datagrams.
-func (b *Board) TellSeen(seen []balance.Seen) {
+// TellSeen queues outcomes for the next datagram to each peer. Outcomes beyond
+// maxSeen are left out.
+func (b *Board) TellSeen(list []balance.Seen) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.seen = seen
+	for _, s := range list[:min(len(list), max(0, maxSeen-len(b.seen)))] {
+		b.seen = append(b.seen, seen{s, b.rounds()})
+	}
 }
 
+// rounds returns in how many rounds each peer is sent to once.
+func (b *Board) rounds() int { return max(1, (len(b.peers)+batch-1)/batch) }
+
 // NewBoard returns a board; boot must grow with each start of this router.
 func NewBoard(self string, boot uint64) *Board {
-	return &Board{self: self, boot: boot, own: map[uint64]int{}, peers: map[string]*peer{}}
+	return &Board{self: self, boot: boot, own: map[uint64]int{}, sums: map[uint64]int{}, peers: map[string]*peer{}}
 }
 
 // Start counts a request that is sent to an upstream.
@@ -119,24 +154,72 @@
 	}
 }
 
-// Loads returns the requests in progress at each upstream: from all routers
-// whose counts are known, and this router's own part of them.
-func (b *Board) Loads(now clock.Instant, upstreams []string) (loads, own []int) {
+// Loads returns the requests in progress at each upstream, given by the hash of
+// its identity: from all routers, and this router's own part of them. In a large
+// fleet the counts of some peers are too old; those of the others stand for them.
+func (b *Board) Loads(now clock.Instant, upstreams []uint64) (loads, own []int) {
 	loads, own = make([]int, len(upstreams)), make([]int, len(upstreams))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lifetime := max(loadLifetime, loadIntervals*Interval(len(b.peers)+1))
-	for i, u := range upstreams {
-		key := xxhash.Sum64String(u)
+	scale := b.scale(now)
+	for i, key := range upstreams {
 		own[i] = b.own[key]
-		loads[i] = own[i]
+		loads[i] = own[i] + int(math.Round(scale*float64(b.sums[key])))
+	}
+	return loads, own
+}
+
+// scale takes counts that are too old out of the sums and returns how many
+// peers one counted peer stands for.
+func (b *Board) scale(now clock.Instant) float64 {
+	if now.Sub(b.checked) >= ageRefresh {
+		b.checked = now
 		for _, p := range b.peers {
-			if p.heard != 0 && now.Sub(p.heard) < lifetime {
-				loads[i] += p.loads[key]
+			if p.counted && !p.speaks(now, loadLifetime) {
+				b.uncount(p)
 			}
 		}
 	}
-	return loads, own
+	if b.counted == 0 || b.rounds() == 1 {
+		return 1
+	}
+	reachable := 0
+	for _, p := range b.peers {
+		if p.speaks(now, b.silence()) {
+			reachable++
+		}
+	}
+	return max(1, float64(reachable)/float64(b.counted))
+}
+
+// silence returns the time without datagrams after which a peer is taken to be
+// out of reach.
+func (b *Board) silence() time.Duration {
+	return max(silence, silentIntervals*Interval(len(b.peers)+1))
+}
+
+// count replaces a peer's counts in the sums.
+func (b *Board) count(p *peer, loads map[uint64]int) {
+	b.uncount(p)
+	p.loads, p.counted = loads, true
+	b.counted++
+	for key, n := range loads {
+		b.sums[key] += n
+	}
+}
+
+func (b *Board) uncount(p *peer) {
+	if !p.counted {
+		return
+	}
+	p.counted = false
+	b.counted--
+	for key, n := range p.loads {
+		b.sums[key] -= n
+		if b.sums[key] == 0 {
+			delete(b.sums, key)
+		}
+	}
 }
 
 // SetPeers replaces the list of the other routers, by name and address. The
@@ -151,6 +234,7 @@
 		}
 		p := b.peers[name]
 		if p == nil || p.address != address && !p.speaks(now, heardLifetime) {
+			b.forget(name)
 			b.peers[name] = &peer{address: address, known: now, listed: now}
 			changed = true
 			continue
@@ -159,13 +243,20 @@
 	}
 	for name, p := range b.peers {
 		if _, ok := addresses[name]; !ok && !p.speaks(now, heardLifetime) {
-			delete(b.peers, name)
+			b.forget(name)
 			changed = true
 		}
 	}
 	return changed
 }
 
+func (b *Board) forget(name string) {
+	if p := b.peers[name]; p != nil {
+		b.uncount(p)
+		delete(b.peers, name)
+	}
+}
+
 // speaks reports whether the peer was heard from within a time.
 func (p *peer) speaks(now clock.Instant, within time.Duration) bool {
 	return p.heard != 0 && now.Sub(p.heard) < within
@@ -190,7 +281,7 @@
 func (b *Board) Reachable(now clock.Instant) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := max(silence, silentIntervals*Interval(len(b.peers)+1))
+	limit := b.silence()
 	return b.names(func(p *peer) bool { return now.Sub(max(p.heard, p.known)) < limit })
 }
 
@@ -204,3 +295,18 @@
 	slices.Sort(names)
 	return names
 }
+
+// Sample returns the addresses of up to most peers that are in reach, drawn at
+// random.
+func (b *Board) Sample(now clock.Instant, most int) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var addresses []string
+	for _, p := range b.peers {
+		if p.speaks(now, b.silence()) {
+			addresses = append(addresses, p.address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(most, len(addresses))]
+}
--- a/internal/router/digest/board_test.go
+++ b/internal/router/digest/board_test.go
@@ -1,14 +1,20 @@
 package digest
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 )
 
+// engine is the upstream of the tests.
+var engine = []uint64{xxhash.Sum64String("engine")}
+
 // pair returns two boards that know each other.
 func pair() (a, b *Board) {
 	a, b = NewBoard("a", 1), NewBoard("b", 1)
@@ -38,10 +44,10 @@
 	a.End("engine")
 	deliver(t, b, now, a.Letters(now)[0].Content())
 	deliver(t, b, now, old)
-	if all, own := b.Loads(now, []string{"engine"}); all[0] != 2 || own[0] != 1 {
+	if all, own := b.Loads(now, engine); all[0] != 2 || own[0] != 1 {
 		t.Errorf("load %d, own %d, want one of each router", all[0], own[0])
 	}
-	if all, _ := b.Loads(now.Add(2*time.Second), []string{"engine"}); all[0] != 1 {
+	if all, _ := b.Loads(now.Add(2*time.Second), engine); all[0] != 1 {
 		t.Errorf("load %d, want the own one only after the peer fell silent", all[0])
 	}
 	outcome := balance.Seen{Upstream: 3, OK: 1, Failed: 2, Unreachable: 4}
@@ -118,7 +124,7 @@
 	if l := a.Letters(now); len(l) != 1 || l[0].Address() != "10.0.0.9:1" {
 		t.Errorf("letters %v, want one to the address of the datagram", l)
 	}
-	if all, _ := a.Loads(now, []string{"engine"}); all[0] != 1 {
+	if all, _ := a.Loads(now, engine); all[0] != 1 {
 		t.Errorf("load %d, want that of the new peer", all[0])
 	}
 	later := now.Add(heardLifetime)
@@ -128,6 +134,59 @@
 	}
 }
 
+// TestClockStepBack guards against a router that nobody hears after a restart,
+// since the time of day jumped back before it.
+func TestClockStepBack(t *testing.T) {
+	a, b := pair()
+	now := clock.Instant(time.Hour)
+	deliver(t, a, now, b.Letters(now)[0].Content())
+	again := NewBoard("b", 0)
+	again.SetPeers(now, map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1"})
+	again.Start("engine")
+	now = now.Add(lateness)
+	deliver(t, a, now, again.Letters(now)[0].Content())
+	if all, _ := a.Loads(now, engine); all[0] != 1 {
+		t.Errorf("load %d, want that of the restarted router", all[0])
+	}
+}
+
+// TestSampled plays 400 routers of which each has one request at one upstream,
+// with datagrams to a part of the peers in each round. It guards against counts
+// that miss the routers not heard from lately.
+func TestSampled(t *testing.T) {
+	const routers = 400
+	self := NewBoard("self", 1)
+	now := clock.Instant(time.Hour)
+	peers := make([]*Board, routers)
+	for i := range peers {
+		peers[i] = NewBoard(fmt.Sprint("peer-", i), 1)
+		peers[i].SetPeers(now, map[string]string{"self": "10.0.0.1:1"})
+		peers[i].Start("engine")
+	}
+	address := map[string]string{}
+	for step := range 4 * routers / batch {
+		now = now.Add(SendInterval)
+		for i := range batch {
+			n := (step*batch + i) % routers
+			content := peers[n].Letters(now)[0].Content()
+			if _, err := self.Receive(now, fmt.Sprint("10.0.1.1:", n), content); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if all, _ := self.Loads(now, engine); all[0] < routers*9/10 || all[0] > routers*11/10 {
+		t.Errorf("load %d, want about %d", all[0], routers)
+	}
+	for range (routers + batch - 1) / batch {
+		for _, l := range self.Letters(now) {
+			address[l.Address()] = "sent"
+		}
+	}
+	if len(address) != routers {
+		t.Errorf("%d of %d peers were sent to in a turn", len(address), routers)
+	}
+}
+
 // TestReachable guards against a follower that relies on a router which is
 // listed and silent, and against one that watches before its peers could speak.
 func TestReachable(t *testing.T) {
--- a/internal/router/digest/datagram.go
+++ b/internal/router/digest/datagram.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/binary"
 	"errors"
+	"maps"
+	"slices"
+	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
@@ -15,7 +18,7 @@
 // format is the first byte of a datagram, which changes with the layout:
 // format, length of the name, name, boot, number, echo, sent, marks, number of
 // counts, counts, number of outcomes, outcomes, uses.
-const format = 4
+const format = 5
 
 const (
 	// fixedBytes is the size of what stands between the name and the counts.
@@ -26,6 +29,11 @@
 	seenBytes = 11
 	// useBytes is the size of one use of a part of a prompt.
 	useBytes = 16
+	// lateness is the longest delay of a datagram that still arrives.
+	lateness = 2 * time.Second
+	// maxUses bounds the uses in one datagram, so that they stay small in a large
+	// fleet, where most are of no interest to a peer.
+	maxUses = 32
 )
 
 // errMalformed means that a datagram is not one of this version.
@@ -44,7 +52,8 @@
 // the same round is read.
 func (l Letter) Content() []byte { return l.content }
 
-// Letters returns a datagram for each peer. They differ in the echo alone.
+// Letters returns a datagram for each peer whose turn it is. They differ in the
+// echo alone.
 func (b *Board) Letters(now clock.Instant) []Letter {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -56,8 +65,8 @@
 	tail := binary.BigEndian.AppendUint64(nil, uint64(now))
 	tail = b.appendMarks(tail, now)
 	tail = b.appendRows(tail, MaxDatagram-len(head)-stampBytes)
-	letters := make([]Letter, 0, len(b.peers))
-	for _, p := range b.peers {
+	letters := make([]Letter, 0, batch)
+	for _, p := range b.turn() {
 		d := make([]byte, 0, len(head)+stampBytes+len(tail))
 		d = append(d, head...)
 		d = binary.BigEndian.AppendUint64(d, p.stamp)
@@ -66,7 +75,21 @@
 	return letters
 }
 
-// appendRows appends the counts and the uses that are news, up to a size.
+// turn returns the peers that are sent to in this round, in the order of their
+// names after those of the last round.
+func (b *Board) turn() []*peer {
+	names := slices.Sorted(maps.Keys(b.peers))
+	first, _ := slices.BinarySearch(names, b.next+"\x00")
+	peers := make([]*peer, min(batch, len(names)))
+	for i := range peers {
+		name := names[(first+i)%len(names)]
+		peers[i], b.next = b.peers[name], name
+	}
+	return peers
+}
+
+// appendRows appends the counts, the outcomes and the uses that are news, up to
+// a size.
 func (b *Board) appendRows(d []byte, limit int) []byte {
 	rows := min(len(b.own), (limit-len(d)-4)/loadBytes)
 	d = binary.BigEndian.AppendUint16(d, uint16(rows))
@@ -78,18 +101,23 @@
 		d = binary.BigEndian.AppendUint64(d, key)
 		d = binary.BigEndian.AppendUint16(d, uint16(min(max(n, 0), 1<<16-1)))
 	}
-	seen := b.seen[:min(len(b.seen), max(0, (limit-len(d)-2)/seenBytes))]
-	b.seen = nil
-	d = binary.BigEndian.AppendUint16(d, uint16(len(seen)))
-	for _, s := range seen {
+	told := min(len(b.seen), max(0, (limit-len(d)-2)/seenBytes))
+	d = binary.BigEndian.AppendUint16(d, uint16(told))
+	for i := range b.seen[:told] {
+		s := &b.seen[i]
 		d = binary.BigEndian.AppendUint64(d, s.Upstream)
 		d = append(d, s.OK, s.Failed, s.Unreachable)
+		s.rounds--
 	}
-	for len(b.news) > 0 && len(d)+useBytes <= limit {
-		d = binary.BigEndian.AppendUint64(d, uint64(b.news[0].Part))
-		d = binary.BigEndian.AppendUint64(d, uint64(b.news[0].Engine))
-		b.news = b.news[1:]
+	b.seen = slices.DeleteFunc(b.seen, func(s seen) bool { return s.rounds <= 0 })
+	told = min(len(b.news), maxUses, max(0, (limit-len(d))/useBytes))
+	for i := range b.news[:told] {
+		u := &b.news[i]
+		d = binary.BigEndian.AppendUint64(d, uint64(u.Part))
+		d = binary.BigEndian.AppendUint64(d, uint64(u.Engine))
+		u.rounds--
 	}
+	b.news = slices.DeleteFunc(b.news, func(n news) bool { return n.rounds <= 0 })
 	return d
 }
 
@@ -151,10 +179,13 @@
 		b.peers[name] = p
 		b.liveAt = 0
 	}
-	if p == nil || boot < p.boot || boot == p.boot && number <= p.number {
+	// The time of day, from which boots are counted, may have jumped back before
+	// a restart; a datagram of the earlier boot is never late for so long.
+	if p == nil || boot < p.boot && p.speaks(now, lateness) || boot == p.boot && number <= p.number {
 		return Heard{}, nil
 	}
 	p.address = from
-	p.boot, p.number, p.heard, p.stamp, p.loads = boot, number, now, stamp, loads
+	p.boot, p.number, p.heard, p.stamp = boot, number, now, stamp
+	b.count(p, loads)
 	return h, nil
 }
--- a/internal/router/digest/mark.go
+++ b/internal/router/digest/mark.go
@@ -23,13 +23,15 @@
 // Mark tells that the store's state had a hash at some time after an instant.
 type Mark struct {
 	Hash uint64
+	// Revision is the store's up to which the state holds all changes.
+	Revision uint64
 	// Confirmed is zero if the state is not known.
 	Confirmed clock.Instant
 }
 
 const (
-	// markBytes is the size of a mark: the hash and its age in milliseconds.
-	markBytes = 12
+	// markBytes is the size of a mark: hash, revision, and age in milliseconds.
+	markBytes = 20
 	// stampBytes is the size of an instant.
 	stampBytes = 8
 )
@@ -49,6 +51,7 @@
 			age = uint32(min(now.Sub(m.Confirmed).Milliseconds()+1, math.MaxUint32-1))
 		}
 		d = binary.BigEndian.AppendUint64(d, m.Hash)
+		d = binary.BigEndian.AppendUint64(d, m.Revision)
 		d = binary.BigEndian.AppendUint32(d, age)
 	}
 	return d
@@ -63,12 +66,13 @@
 	}
 	for t := range marks {
 		row := d[t*markBytes:]
-		age := binary.BigEndian.Uint32(row[8:])
+		age := binary.BigEndian.Uint32(row[16:])
 		if age == math.MaxUint32 {
 			continue
 		}
 		marks[t] = Mark{
 			Hash:      binary.BigEndian.Uint64(row),
+			Revision:  binary.BigEndian.Uint64(row[8:]),
 			Confirmed: echo.Add(-time.Duration(age) * time.Millisecond),
 		}
 	}
--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -10,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
 )
 
 // returnGrace is how long an upstream that vanished during an outage of the
@@ -40,8 +40,22 @@
 	entry     Entry
 	coldUntil clock.Instant
 	vanished  clock.Instant
+	// key and life are computed once, since each request compares them.
+	key  uint64
+	life uint64
 }
 
+func newUpstream(e Entry) *Upstream {
+	return &Upstream{entry: e, key: xxhash.Sum64String(e.ID), life: uint64(prefix.EngineOf(e.ID, e.Born))}
+}
+
+// Key returns the hash of the identity.
+func (u *Upstream) Key() uint64 { return u.key }
+
+// Engine returns the identity of the incarnation, by which routers tell each
+// other of the parts of prompts that it has read.
+func (u *Upstream) Engine() prefix.Engine { return prefix.Engine(u.life) }
+
 // ID returns the upstream's identity, which changes with most restarts.
 func (u *Upstream) ID() string { return u.entry.ID }
 
@@ -76,6 +90,7 @@
 	upstreams map[string]*Upstream
 	services  map[string][]*Upstream
 	known     map[string][]*Upstream
+	engines   map[prefix.Engine]*Upstream
 	// hash is what Hash returns, kept since each change asks for it twice.
 	hash uint64
 	// revisions are those of the last change of each upstream, also of removed
@@ -123,22 +138,35 @@
 	return changes
 }
 
-// Put applies one registration.
-func (d *Directory) Put(now clock.Instant, e Entry) []Change {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	changes := d.put(now, e, nil)
-	d.index()
-	return changes
+// Update is a change of one registration.
+type Update struct {
+	ID string
+	// Entry is the new registration, nil if it was removed or names no upstream.
+	Entry *Entry
+	// Revision orders the changes, 0 if unknown.
+	Revision uint64
 }
 
-// Remove applies the removal of one registration.
-func (d *Directory) Remove(now clock.Instant, id string, revision uint64) []Change {
+// Apply applies changes of registrations. It returns what changed, and which of
+// the updates were news: those after which the store's state is another one.
+func (d *Directory) Apply(now clock.Instant, updates []Update) (changes []Change, news []Update) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changes := d.remove(now, id, revision, nil)
-	d.index()
-	return changes
+	for _, u := range updates {
+		before := d.upstreams[u.ID].digest()
+		if u.Entry == nil {
+			changes = d.remove(now, u.ID, u.Revision, changes)
+		} else {
+			changes = d.put(now, *u.Entry, changes)
+		}
+		if d.upstreams[u.ID].digest() != before {
+			news = append(news, u)
+		}
+	}
+	if len(news) > 0 || len(changes) > 0 {
+		d.index()
+	}
+	return changes, news
 }
 
 // Tick drops upstreams that did not return after an outage.
@@ -200,6 +228,13 @@
 	return d.known[service]
 }
 
+// Engine returns the upstream with an engine's identity, or nil.
+func (d *Directory) Engine(e prefix.Engine) *Upstream {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.engines[e]
+}
+
 // IDs returns the identities of all known upstreams, leaving ones included.
 func (d *Directory) IDs() []string {
 	d.mu.RLock()
@@ -228,7 +263,7 @@
 		return changes
 	}
 	old := d.upstreams[e.ID]
-	u := &Upstream{entry: e}
+	u := newUpstream(e)
 	if e.ColdFor > 0 {
 		u.coldUntil = now.Add(e.ColdFor)
 	}
@@ -282,22 +317,46 @@
 	return changes
 }
 
+// digest returns a hash of what the store says of the upstream, as far as it
+// decides whether it receives work, 0 for none.
+func (u *Upstream) digest() uint64 {
+	if u == nil || u.vanished != 0 {
+		return 0
+	}
+	h := u.life
+	if u.entry.Leaving {
+		h ^= leavingBit
+	}
+	if u.entry.ColdFor > 0 {
+		h ^= coldBit
+	}
+	// The multiplication spreads the bits, so that a sum of digests tells sets
+	// of upstreams apart.
+	return h*spreadBits | 1
+}
+
+const (
+	leavingBit = 1 << 1
+	coldBit    = 1 << 2
+	// spreadBits is an odd number without a pattern in its bits, the golden
+	// ratio's fraction.
+	spreadBits = 0x9e3779b97f4a7c15
+)
+
 // index rebuilds what is derived from the upstreams: the lists by service and
 // the hash.
 func (d *Directory) index() {
-	services, known := map[string][]*Upstream{}, map[string][]*Upstream{}
-	hash := xxhash.New()
+	services, known, engines := map[string][]*Upstream{}, map[string][]*Upstream{}, map[prefix.Engine]*Upstream{}
+	hash := uint64(0)
 	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
 		u := d.upstreams[id]
-		if u.vanished == 0 {
-			// A hash never returns an error.
-			_, _ = fmt.Fprintf(hash, "%s %d %t %t\n", id, u.entry.Born, u.entry.Leaving, u.entry.ColdFor > 0)
-		}
+		hash += u.digest()
+		engines[u.Engine()] = u
 		known[u.entry.Service] = append(known[u.entry.Service], u)
 		if u.entry.Leaving || d.evacuated[u.entry.FailureDomain] {
 			continue
 		}
 		services[u.entry.Service] = append(services[u.entry.Service], u)
 	}
-	d.services, d.known, d.hash = services, known, hash.Sum64()
+	d.services, d.known, d.engines, d.hash = services, known, engines, hash
 }
--- a/internal/router/directory/directory_test.go
+++ b/internal/router/directory/directory_test.go
@@ -28,12 +28,13 @@
 				changes = d.Tick(now)
 			case "put":
 				for _, e := range entries(t, td.Input) {
-					changes = append(changes, d.Put(now, e)...)
+					c, _ := d.Apply(now, []Update{{ID: e.ID, Entry: &e}})
+					changes = append(changes, c...)
 				}
 			case "list":
 				changes = d.Replace(now, entries(t, td.Input), 0)
 			case "remove":
-				changes = d.Remove(now, td.CmdArgs[0].Key, 0)
+				changes, _ = d.Apply(now, []Update{{ID: td.CmdArgs[0].Key}})
 			case "outage":
 				d.Outage(now)
 			case "evacuate":
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -37,10 +37,24 @@
 }
 
 // Gateway serves requests of callers.
-type Gateway struct{ Parts }
+type Gateway struct {
+	Parts
+	loads       *serviceLoads
+	manyRegions bool
+}
 
 // New returns a gateway made of parts.
-func New(p Parts) *Gateway { return &Gateway{p} }
+func New(p Parts) *Gateway {
+	regions := map[string]bool{}
+	for _, r := range p.Regions {
+		regions[r] = true
+	}
+	return &Gateway{
+		Parts:       p,
+		loads:       &serviceLoads{directory: p.Directory, board: p.Board, sums: map[string]serviceSum{}},
+		manyRegions: len(regions) > 1,
+	}
+}
 
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -10,22 +10,69 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
 )
 
+// shortlistLength is how many upstreams are looked at for a request, the first
+// in rendezvous order. All are looked at if none of these may receive it.
+const shortlistLength = 16
+
 // pick returns the upstream of the next attempt.
 func (j *job) pick() (*directory.Upstream, error) {
 	if j.service == nil {
 		return nil, verdict.New(verdict.NotRun, errNoUpstream)
 	}
+	all := j.Directory.Receiving(j.serviceName)
+	for _, length := range []int{shortlistLength, len(all)} {
+		if u := j.pickAmong(j.shortlist(all, length), len(all)); u != nil {
+			return u, nil
+		}
+		if len(all) <= shortlistLength {
+			break
+		}
+	}
+	return nil, verdict.New(verdict.NotRun, errNoUpstream)
+}
+
+// shortlist returns the first upstreams in rendezvous order of what the
+// requests of a chat or document share, or else of the request itself. Where
+// there are several regions, it holds the first of this one before the first of
+// all others, so that a large region does not hide this one.
+func (j *job) shortlist(all []*directory.Upstream, length int) []*directory.Upstream {
+	if !j.manyRegions {
+		return j.leaders(all, length, func(*directory.Upstream) bool { return true })
+	}
+	home := j.Regions[j.FailureDomain]
+	local := func(u *directory.Upstream) bool { return j.Regions[u.FailureDomain()] == home }
+	return append(j.leaders(all, length, local),
+		j.leaders(all, length, func(u *directory.Upstream) bool { return !local(u) })...)
+}
+
+func (j *job) leaders(all []*directory.Upstream, length int, eligible func(*directory.Upstream) bool) []*directory.Upstream {
+	key := j.call.ID
+	if j.affine() {
+		key = j.call.affinity()
+	}
+	first := place.Leaders(place.Key(key), len(all), length, func(i int) (uint64, bool) { return all[i].Key(), eligible(all[i]) })
+	list := make([]*directory.Upstream, len(first))
+	for i, u := range first {
+		list[i] = all[u]
+	}
+	return list
+}
+
+// affine reports whether the request belongs with others that share its prompt.
+func (j *job) affine() bool { return j.route.Affine() && j.call.affinity() != "" }
+
+// pickAmong returns the upstream of the next attempt from a list, nil if none
+// may receive the request. open is the number of upstreams that take new work.
+func (j *job) pickAmong(upstreams []*directory.Upstream, open int) *directory.Upstream {
 	now := clock.Now()
-	upstreams := j.Directory.Receiving(j.serviceName)
 	candidates := j.candidates(now, upstreams)
-	closed := j.closed(now, candidates)
 	for {
-		c := j.choose(candidates, closed)
+		c := j.choose(now, candidates)
 		if c.Index < 0 && j.mayHaveRun && j.sameAgain(candidates) {
 			continue
 		}
 		if c.Index < 0 {
-			return nil, verdict.New(verdict.NotRun, errNoUpstream)
+			return nil
 		}
 		u := upstreams[c.Index]
 		cold := u.Cold(now) && j.service.ColdRate() > 0
@@ -35,10 +82,10 @@
 		}
 		j.log().WithFields(logrus.Fields{
 			"upstream": u.ID(), "reason": c.Reason, "load": candidates[c.Index].Load, "bound": c.Bound,
-			"candidates": len(candidates), "cold": cold, "affinity": j.call.affinity(), "attempt": j.sent + 1,
+			"candidates": open, "cold": cold, "affinity": j.call.affinity(), "attempt": j.sent + 1,
 			"left_ms": j.remaining().Milliseconds(),
 		}).Info("picked")
-		return u, nil
+		return u
 	}
 }
 
@@ -57,46 +104,15 @@
 	return found
 }
 
-func (j *job) choose(candidates []balance.Candidate, closed balance.Closed) balance.Choice {
+func (j *job) choose(now clock.Instant, candidates []balance.Candidate) balance.Choice {
 	if j.affine() {
-		return balance.Affine(j.call.affinity(), candidates, closed)
+		return balance.Affine(candidates, j.loads.of(now, j.serviceName))
 	}
 	return balance.Spread(place.Key(j.call.ID), candidates)
 }
 
-// affine reports whether the request belongs with others that share its prompt.
-func (j *job) affine() bool { return j.route.Affine() && j.call.affinity() != "" }
-
-// closed sums up the service's upstreams that are no candidates.
-func (j *job) closed(now clock.Instant, candidates []balance.Candidate) balance.Closed {
-	known := j.Directory.Known(j.serviceName)
-	if !j.affine() || len(known) == len(candidates) {
-		return balance.Closed{}
-	}
-	open := map[string]bool{}
-	for _, c := range candidates {
-		open[c.ID] = true
-	}
-	var ids []string
-	for _, u := range known {
-		if !open[u.ID()] {
-			ids = append(ids, u.ID())
-		}
-	}
-	loads, _ := j.Board.Loads(now, ids)
-	sum := balance.Closed{Count: len(ids)}
-	for _, n := range loads {
-		sum.Load += n
-	}
-	return sum
-}
-
 func (j *job) candidates(now clock.Instant, upstreams []*directory.Upstream) []balance.Candidate {
-	ids := make([]string, len(upstreams))
-	for i, u := range upstreams {
-		ids[i] = u.ID()
-	}
-	loads, own := j.Board.Loads(now, ids)
+	loads, own := j.Board.Loads(now, keys(upstreams))
 	list := make([]balance.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		list[i] = balance.Candidate{
--- a/internal/router/forward/prefix.go
+++ b/internal/router/forward/prefix.go
@@ -23,12 +23,10 @@
 		return ""
 	}
 	now := clock.Now()
-	for _, engine := range j.Holders.Source(now, j.parts(), prefix.EngineOf(u.ID(), u.Born())) {
-		for _, v := range j.Directory.Known(j.serviceName) {
-			if prefix.EngineOf(v.ID(), v.Born()) == engine && !j.Health.Suspect(now, v.ID()) {
-				j.log().WithField("upstream", u.ID()).WithField("source", v.ID()).Info("copies prompt")
-				return v.Address()
-			}
+	for _, engine := range j.Holders.Source(now, j.parts(), u.Engine()) {
+		if v := j.Directory.Engine(engine); v != nil && v.Service() == j.serviceName && !j.Health.Suspect(now, v.ID()) {
+			j.log().WithField("upstream", u.ID()).WithField("source", v.ID()).Info("copies prompt")
+			return v.Address()
 		}
 	}
 	return ""
@@ -41,7 +39,7 @@
 	}
 	now := clock.Now()
 	for _, p := range j.parts() {
-		use := prefix.Use{Part: p, Engine: prefix.EngineOf(u.ID(), u.Born())}
+		use := prefix.Use{Part: p, Engine: u.Engine()}
 		if j.Holders.Used(now, use) {
 			j.Board.Tell(use)
 		}
--- a/internal/router/place/place.go
+++ b/internal/router/place/place.go
@@ -32,10 +32,12 @@
 	score uint64
 }
 
-// score mixes the key with the node's name; the multiplication and shifts of
-// splitmix64 make scores of similar names independent.
-func score(key uint64, node string) uint64 {
-	x := key ^ xxhash.Sum64String(node)
+func score(key uint64, node string) uint64 { return mix(key, xxhash.Sum64String(node)) }
+
+// mix mixes the key with the hash of a node's name; the multiplication and
+// shifts of splitmix64 make scores of similar names independent.
+func mix(key, name uint64) uint64 {
+	x := key ^ name
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
@@ -75,3 +77,32 @@
 	}
 	return best.node
 }
+
+// Leaders returns the positions of the first most nodes of Order among count
+// nodes, where name returns the xxhash of a node's name and whether the node is
+// eligible. It neither hashes nor sorts the names of a large set.
+func Leaders(key uint64, count, most int, name func(i int) (hash uint64, eligible bool)) []int {
+	type leader struct {
+		position int
+		score    uint64
+	}
+	leaders := make([]leader, 0, most+1)
+	for i := range count {
+		h, ok := name(i)
+		if !ok {
+			continue
+		}
+		l := leader{i, mix(key, h)}
+		if len(leaders) == most && l.score <= leaders[most-1].score {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(leaders, l, func(a, b leader) int { return cmp.Compare(b.score, a.score) })
+		leaders = slices.Insert(leaders, at, l)
+		leaders = leaders[:min(len(leaders), most)]
+	}
+	positions := make([]int, len(leaders))
+	for i, l := range leaders {
+		positions[i] = l.position
+	}
+	return positions
+}
