Halve the datagrams of a large fleet, and ask peers where knowledge ages

Cause: at 91 hosts the digests are 44 KB/s a router, above the 26 KB/s of the plan, and most of the bytes between failure domains.

Change: a router whose knowledge was not confirmed for half of its patience asks one that watches and two others, which answer at once. One router of 64 watches where that is more than two.

TestAsk covers the answer; it came with the mechanism.

--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,9 +14,23 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
 )
 
-// watchers is how many routers follow each topic in the store. The others are
-// told by them, and read the store only for a change or if told nothing.
-const watchers = 2
+const (
+	// leastWatchers is how many routers follow each topic in the store at least.
+	// The others are told by them, and read the store only for a change or if told
+	// nothing.
+	leastWatchers = 2
+	// routersPerWatcher bounds the peers that ask one watcher in a large fleet.
+	routersPerWatcher = 64
+)
+
+const (
+	// askPeersShare is the part of its patience after which a router that was told
+	// nothing asks peers.
+	askPeersShare = 0.5
+	// askedPeers is how many it asks each time, drawn at random, beside one that
+	// watches.
+	askedPeers = 2
+)
 
 // watchCheck is how often a follower looks whether it watches now, since those
 // who did fell silent.
@@ -86,6 +101,14 @@
 	f.mark.Revision = 0
 }
 
+// aging reports whether the state is known and was not confirmed for so long that
+// peers should be asked.
+func (f *feed) aging(now clock.Instant) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mark.Confirmed != 0 && now.Sub(f.mark.Confirmed) > time.Duration(askPeersShare*float64(f.patience))
+}
+
 // hear takes a peer's mark and reports whether it confirms this router's state.
 // A different state that is newer, and stays different for the settling time,
 // wakes the follower.
@@ -151,9 +174,23 @@
 // that has not listed its peers yet does not, since after a start of the fleet
 // all would.
 func (e *Edge) watches(t digest.Topic) bool {
-	if !e.peersListed.Load() {
-		return false
-	}
+	return e.peersListed.Load() && slices.Contains(e.watchers(t), e.settings.Name)
+}
+
+// watchers returns the names of the routers that follow a topic in the store.
+func (e *Edge) watchers(t digest.Topic) []string {
 	order := place.Order(place.Key(feedName[t]), e.board.Reachable(clock.Now()))
-	return slices.Contains(order[:min(watchers, len(order))], e.settings.Name)
+	return order[:min(max(leastWatchers, len(order)/routersPerWatcher), len(order))]
+}
+
+// asked returns the peers to ask if what this router knows ages: one that
+// watches each topic concerned, and a few others.
+func (e *Edge) asked(now clock.Instant) (names []string, others int) {
+	for _, f := range []*feed{e.orders, e.upstreams} {
+		if f.aging(now) {
+			list := e.watchers(f.topic)
+			names, others = append(names, list[rand.IntN(len(list))]), askedPeers
+		}
+	}
+	return names, others
 }
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -120,6 +120,9 @@
 			e.counters.Add("digests_malformed", 1)
 		}
 		e.hear(now, heard)
+		if l, ok := e.board.Answer(now, heard.Asker()); ok {
+			e.send(l.Address(), l.Content())
+		}
 	}
 }
 
@@ -157,7 +160,10 @@
 		pause(ctx, digest.SendInterval)
 		now := clock.Now()
 		e.board.TellSeen(e.health.News())
-		for _, l := range e.board.Letters(now) {
+		letters := e.board.Letters(now)
+		names, others := e.asked(now)
+		letters = append(letters, e.board.Ask(now, names, others)...)
+		for _, l := range letters {
 			e.send(l.Address(), l.Content())
 		}
 	}
--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -18,8 +18,8 @@
 	// SendInterval is how often a router sends datagrams, to as many peers as
 	// peerInterval allows.
 	SendInterval = 200 * time.Millisecond
-	// peerInterval bounds a router's datagrams to 200 a second in a large fleet.
-	peerInterval = 5 * time.Millisecond
+	// peerInterval bounds a router's datagrams to 100 a second in a large fleet.
+	peerInterval = 10 * time.Millisecond
 	// batch is how many datagrams peerInterval allows in one SendInterval.
 	batch = int(SendInterval / peerInterval)
 	// loadLifetime is the age after which a peer's counts are ignored: four
@@ -302,11 +302,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var addresses []string
+	for _, p := range b.sample(now, most) {
+		addresses = append(addresses, p.address)
+	}
+	return addresses
+}
+
+func (b *Board) sample(now clock.Instant, most int) []*peer {
+	var reachable []*peer
 	for _, p := range b.peers {
 		if p.speaks(now, b.silence()) {
-			addresses = append(addresses, p.address)
+			reachable = append(reachable, p)
 		}
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(most, len(addresses))]
+	rand.Shuffle(len(reachable), func(i, j int) { reachable[i], reachable[j] = reachable[j], reachable[i] })
+	return reachable[:min(most, len(reachable))]
 }
--- a/internal/router/digest/board_test.go
+++ b/internal/router/digest/board_test.go
@@ -134,6 +134,31 @@
 	}
 }
 
+// TestAsk guards against a router that is told of nothing for a whole turn of a
+// large fleet: a peer that it asks confirms the state at once.
+func TestAsk(t *testing.T) {
+	a, b := pair()
+	aNow, bNow := clock.Instant(time.Hour), clock.Instant(3*time.Hour)
+	deliver(t, b, bNow, a.Letters(aNow)[0].Content())
+	a.SetMark(Orders, Mark{Hash: 5, Revision: 7, Confirmed: aNow})
+	question := b.Ask(bNow, []string{"a", "unknown"}, 3)
+	if len(question) != 1 {
+		t.Fatalf("%d peers are asked, want the one in reach", len(question))
+	}
+	asker := deliver(t, a, aNow, question[0].Content()).Asker()
+	answer, ok := a.Answer(aNow, asker)
+	if !ok {
+		t.Fatalf("no answer for %q", asker)
+	}
+	h := deliver(t, b, bNow.Add(3*time.Millisecond), answer.Content())
+	if m := h.Mark(Orders); m.Hash != 5 || m.Revision != 7 || bNow.Sub(m.Confirmed) > 2*time.Millisecond {
+		t.Errorf("mark %v, want the state confirmed about %v", m, bNow)
+	}
+	if h.Asker() != "" {
+		t.Error("an answer asks for an answer")
+	}
+}
+
 // TestClockStepBack guards against a router that nobody hears after a restart,
 // since the time of day jumped back before it.
 func TestClockStepBack(t *testing.T) {
@@ -214,7 +239,7 @@
 	b.Start("engine")
 	b.Tell(prefix.Use{Part: 1, Engine: 2})
 	f.Add(b.Letters(5)[0].Content())
-	f.Add([]byte{format, 200, 1})
+	f.Add([]byte{format, 0, 200, 1})
 	f.Fuzz(func(_ *testing.T, content []byte) {
 		// Malformed datagrams are errors; nothing may panic.
 		_, _ = a.Receive(10, "10.0.0.9:1", content)
--- a/internal/router/digest/datagram.go
+++ b/internal/router/digest/datagram.go
@@ -16,11 +16,15 @@
 const MaxDatagram = 1400
 
 // format is the first byte of a datagram, which changes with the layout:
-// format, length of the name, name, boot, number, echo, sent, marks, number of
+// format, flags, length of the name, name, boot, number, echo, sent, marks, number of
 // counts, counts, number of outcomes, outcomes, uses.
-const format = 5
+const format = 6
 
 const (
+	// asks is the flag of a datagram whose sender wants one at once.
+	asks byte = 1
+	// headBytes is the size of what stands before the name.
+	headBytes = 3
 	// fixedBytes is the size of what stands between the name and the counts.
 	fixedBytes = 2*8 + 2*stampBytes + int(topics)*markBytes + 2
 	// loadBytes is the size of one count: the hash of the upstream and the count.
@@ -57,24 +61,67 @@
 func (b *Board) Letters(now clock.Instant) []Letter {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	head := []byte{format, byte(len(b.self))}
-	head = append(head, b.self...)
-	b.number++
-	head = binary.BigEndian.AppendUint64(head, b.boot)
-	head = binary.BigEndian.AppendUint64(head, b.number)
-	tail := binary.BigEndian.AppendUint64(nil, uint64(now))
-	tail = b.appendMarks(tail, now)
-	tail = b.appendRows(tail, MaxDatagram-len(head)-stampBytes)
+	tail := b.appendRows(b.tail(now), MaxDatagram-b.headSize())
 	letters := make([]Letter, 0, batch)
 	for _, p := range b.turn() {
-		d := make([]byte, 0, len(head)+stampBytes+len(tail))
-		d = append(d, head...)
-		d = binary.BigEndian.AppendUint64(d, p.stamp)
-		letters = append(letters, Letter{p.address, append(d, tail...)})
+		letters = append(letters, b.letter(p, 0, tail))
+	}
+	return letters
+}
+
+// Ask returns datagrams that ask peers for their marks: those named, and some
+// others, drawn at random.
+func (b *Board) Ask(now clock.Instant, names []string, others int) []Letter {
+	if len(names) == 0 && others == 0 {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	asked := b.sample(now, others)
+	for _, name := range names {
+		if p := b.peers[name]; p != nil && !slices.Contains(asked, p) {
+			asked = append(asked, p)
+		}
+	}
+	tail := b.appendLoads(b.tail(now), MaxDatagram-b.headSize())
+	letters := make([]Letter, len(asked))
+	for i, p := range asked {
+		letters[i] = b.letter(p, asks, tail)
 	}
 	return letters
 }
 
+// Answer returns the datagram for a peer that asked.
+func (b *Board) Answer(now clock.Instant, name string) (Letter, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.peers[name]
+	if p == nil {
+		return Letter{}, false
+	}
+	return b.letter(p, 0, b.appendLoads(b.tail(now), MaxDatagram-b.headSize())), true
+}
+
+// headSize returns the size of a datagram up to the echo.
+func (b *Board) headSize() int { return headBytes + len(b.self) + 2*8 + stampBytes }
+
+// tail begins what is the same for all peers: the instant and the marks.
+func (b *Board) tail(now clock.Instant) []byte {
+	return b.appendMarks(binary.BigEndian.AppendUint64(nil, uint64(now)), now)
+}
+
+// letter returns a datagram for a peer.
+func (b *Board) letter(p *peer, flags byte, tail []byte) Letter {
+	d := make([]byte, 0, b.headSize()+len(tail))
+	d = append(d, format, flags, byte(len(b.self)))
+	d = append(d, b.self...)
+	b.number++
+	d = binary.BigEndian.AppendUint64(d, b.boot)
+	d = binary.BigEndian.AppendUint64(d, b.number)
+	d = binary.BigEndian.AppendUint64(d, p.stamp)
+	return Letter{p.address, append(d, tail...)}
+}
+
 // turn returns the peers that are sent to in this round, in the order of their
 // names after those of the last round.
 func (b *Board) turn() []*peer {
@@ -88,9 +135,13 @@
 	return peers
 }
 
-// appendRows appends the counts, the outcomes and the uses that are news, up to
-// a size.
-func (b *Board) appendRows(d []byte, limit int) []byte {
+// appendLoads appends the counts, and no outcomes or uses, up to a size.
+func (b *Board) appendLoads(d []byte, limit int) []byte {
+	return binary.BigEndian.AppendUint16(b.appendCounts(d, limit), 0)
+}
+
+// appendCounts appends the counts, up to a size.
+func (b *Board) appendCounts(d []byte, limit int) []byte {
 	rows := min(len(b.own), (limit-len(d)-4)/loadBytes)
 	d = binary.BigEndian.AppendUint16(d, uint16(rows))
 	for key, n := range b.own {
@@ -101,6 +152,13 @@
 		d = binary.BigEndian.AppendUint64(d, key)
 		d = binary.BigEndian.AppendUint16(d, uint16(min(max(n, 0), 1<<16-1)))
 	}
+	return d
+}
+
+// appendRows appends the counts, the outcomes and the uses that are news, up to
+// a size.
+func (b *Board) appendRows(d []byte, limit int) []byte {
+	d = b.appendCounts(d, limit)
 	told := min(len(b.seen), max(0, (limit-len(d)-2)/seenBytes))
 	d = binary.BigEndian.AppendUint16(d, uint16(told))
 	for i := range b.seen[:told] {
@@ -126,8 +184,13 @@
 	marks [topics]Mark
 	uses  []prefix.Use
 	seen  []balance.Seen
+	asker string
 }
 
+// Asker returns the name of the peer that wants a datagram at once, empty if it
+// does not.
+func (h Heard) Asker() string { return h.asker }
+
 // Seen returns the outcomes of requests that the peer saw.
 func (h Heard) Seen() []balance.Seen { return h.seen }
 
@@ -141,14 +204,17 @@
 // listed yet introduces itself by its datagrams. Those that arrive out of order
 // are ignored.
 func (b *Board) Receive(now clock.Instant, from string, d []byte) (Heard, error) {
-	if len(d) < 2 || d[0] != format || len(d) < 2+int(d[1])+fixedBytes {
+	if len(d) < headBytes || d[0] != format || len(d) < headBytes+int(d[2])+fixedBytes {
 		return Heard{}, errMalformed
 	}
-	name := string(d[2 : 2+d[1]])
-	d = d[2+len(name):]
+	flags, name := d[1], string(d[headBytes:headBytes+int(d[2])])
+	d = d[headBytes+len(name):]
 	boot, number := binary.BigEndian.Uint64(d), binary.BigEndian.Uint64(d[8:])
 	echo, stamp := clock.Instant(binary.BigEndian.Uint64(d[16:])), binary.BigEndian.Uint64(d[24:])
 	h := Heard{marks: readMarks(d[32:], now, echo)}
+	if flags&asks != 0 {
+		h.asker = name
+	}
 	rows := int(binary.BigEndian.Uint16(d[fixedBytes-2:]))
 	d = d[fixedBytes:]
 	if len(d) < rows*loadBytes+2 {
