Close the connection of a caller that this router cannot serve

The balancer takes such a router out after two checks, but callers keep their connections and were refused again with each request.

A refusal for want of a confirmed configuration, or of any, closes the connection. TestRevocation checks it and failed before.

--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -14,7 +14,7 @@
 // answers the request and returns false if it cannot be served.
 func (j *job) admit() bool {
 	if j.table == nil {
-		j.refuse("no configuration", retrySoon)
+		j.sendAway("no configuration")
 		return false
 	}
 	if limit := j.table.Limits().HeaderBytes; limit > 0 && headerBytes(j.request.Header) > limit {
@@ -55,7 +55,7 @@
 		return true
 	}
 	if !j.Authority.Fresh(j.arrived) {
-		j.refuse("configuration not confirmed", retrySoon)
+		j.sendAway("configuration not confirmed")
 		return false
 	}
 	j.workspace = j.table.Workspace(j.call.Key)
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -162,6 +162,14 @@
 	j.reject(http.StatusServiceUnavailable, why)
 }
 
+// sendAway refuses a request that this router cannot serve and others probably
+// can. It closes the connection, since the balancer leaves those that are open
+// where they are.
+func (j *job) sendAway(why string) {
+	j.writer.Header().Set("Connection", "close")
+	j.refuse(why, retrySoon)
+}
+
 // reject answers the request with a status of the router's own.
 func (j *job) reject(status int, why string) {
 	j.status = status
