--- a/internal/standin/forward/forward.go
+++ b/internal/standin/forward/forward.go
@@ -34,7 +34,7 @@
 	silent    atomic.Bool
 	since     time.Time    // of the silence; the forwarder's lock protects it
 	gone      bool         // the user has closed its side; also under the lock
-	lost      atomic.Int64 // when the user first wrote into the silence, Unix time in ns
+	lost      atomic.Int64 // when bytes were first lost in the silence, Unix time in ns
 }
 
 // Stats are counts of the connections that went silent.
@@ -177,9 +177,10 @@
 	return s
 }
 
-// firstLost returns when the first bytes of the user were lost. The time until a
-// silent connection is given up counts from then, since the user of an idle
-// connection cannot notice the silence before it sends.
+// firstLost returns when the first bytes were lost. The time until a silent
+// connection is given up counts from then: the user of an idle connection cannot
+// notice the silence before it sends, that of a stream can once it waits for
+// bytes that the other side has sent.
 func (p *pair) firstLost() time.Time {
 	if ns := p.lost.Load(); ns != 0 {
 		return time.Unix(0, ns)
@@ -200,9 +201,7 @@
 
 func (w passing) Write(b []byte) (int, error) {
 	if w.pair.silent.Load() {
-		if w.to == w.pair.far {
-			w.pair.lost.CompareAndSwap(0, time.Now().UnixNano())
-		}
+		w.pair.lost.CompareAndSwap(0, time.Now().UnixNano())
 		return len(b), nil
 	}
 	if w.to == w.pair.near {
