Leave upstreams alone that ask for it

An upstream that rejects a request with Retry-After is avoided for that time, at most 1 s, also by peers that are told; answers to earlier requests do not end it.

--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -267,6 +267,27 @@
 	}
 }
 
+// TestBusy guards against work for an upstream that asked to be left alone, while
+// it still answers earlier requests, and against leaving it alone for ever.
+func TestBusy(t *testing.T) {
+	h, peer := NewHealth(), NewHealth()
+	now := clock.Instant(time.Hour)
+	h.Busy(now, "a", time.Minute)
+	h.OK(now, "a")
+	if !h.Suspect(now.Add(longestBusy-1), "a") {
+		t.Error("an upstream that is busy gets work")
+	}
+	if h.Suspect(now.Add(longestBusy), "a") {
+		t.Error("an upstream that was busy gets no work")
+	}
+	for _, s := range h.News() {
+		peer.Told(now, s)
+	}
+	if !peer.Suspect(now, "a") {
+		t.Error("peers are not told")
+	}
+}
+
 // TestTold guards against an upstream that fails for the whole fleet and that
 // each router tries anew, and against avoiding one that only a peer cannot
 // reach.
--- a/internal/router/balance/health.go
+++ b/internal/router/balance/health.go
@@ -22,6 +22,9 @@
 	// failureLimit is the average above which an upstream is avoided although
 	// it accepts connections: about four failures in a row.
 	failureLimit = 0.5
+	// longestBusy bounds the time for which an upstream that asks to be left alone
+	// is avoided.
+	longestBusy = time.Second
 	// soundLimit is the average of failures below which answers are of no interest
 	// to peers.
 	soundLimit = 0.02
@@ -36,7 +39,8 @@
 	Upstream uint64
 	// OK and Failed count answers and requests that were accepted and failed.
 	OK, Failed uint8
-	// Unreachable counts connections that could not be made.
+	// Unreachable counts connections that could not be made, and requests that
+	// were rejected by an upstream that wants to be left alone.
 	Unreachable uint8
 }
 
@@ -45,6 +49,8 @@
 	failures  float64
 	ejections int
 	until     clock.Instant
+	// busy is until when the upstream wants to be left alone.
+	busy clock.Instant
 	// answered is when this router last got an answer.
 	answered clock.Instant
 	seen     Seen
@@ -82,6 +88,16 @@
 	return r.eject(now)
 }
 
+// Busy notes that an upstream rejected a request and asked to be left alone for
+// a time. Its answers to other requests do not end that.
+func (h *Health) Busy(now clock.Instant, id string, wish time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.record(xxhash.Sum64String(id))
+	r.seen.Unreachable = count(r.seen.Unreachable)
+	r.busy = now.Add(min(wish, longestBusy))
+}
+
 // Failed notes a request that the upstream accepted and failed, and returns
 // for how long the upstream is avoided, 0 if it stays in use.
 func (h *Health) Failed(now clock.Instant, id string) time.Duration {
@@ -134,7 +150,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.records[xxhash.Sum64String(id)]
-	return r != nil && now < r.until
+	return r != nil && now < max(r.until, r.busy)
 }
 
 // Keep forgets all upstreams that are not listed.
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -108,6 +108,8 @@
 	if a.OtherIncarnation || a.NotRun {
 		if a.OtherIncarnation {
 			j.Health.Unreachable(clock.Now(), u.ID())
+		} else if a.RetryAfter > 0 {
+			j.Health.Busy(clock.Now(), u.ID(), a.RetryAfter)
 		}
 		// Reading the rest of the body keeps the connection usable.
 		_, _ = io.Copy(io.Discard, io.LimitReader(res, maxReply))
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -57,6 +57,8 @@
 	Signed bool
 	// NotRun reports whether the upstream states that it did not run the request.
 	NotRun bool
+	// RetryAfter is how long the upstream asks to be left alone, 0 if it does not.
+	RetryAfter time.Duration
 	// OtherIncarnation reports whether another upstream has the address.
 	OtherIncarnation bool
 }
