Refuse what a stopping router may not finish

Cause, from the router's log: all 9 routers are stopped in turn, so fewer than half of the failure domain's are ready and the balancer goes on to send new connections to one that stops; it served whatever came. Ruled out: kept connections, they are closed between requests.

After the balancer's lag a request whose deadline lies after the end of the grace period is refused as not run and its connection closed. TestLateInStop failed before: the caller got EOF after the upstream had begun.

--- a/internal/caller/front/server.go
+++ b/internal/caller/front/server.go
@@ -37,6 +37,8 @@
 	// idleLimit returns how long a connection may stay idle, 0 for no limit.
 	idleLimit func() time.Duration
 	closing   atomic.Bool
+	// end is when requests in progress are cut off, once the server is closing.
+	end atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// since is when each connection became idle, zero while it is in use.
@@ -56,6 +58,16 @@
 	s.handler.ServeHTTP(w, r)
 }
 
+// TimeLeft returns how long requests may still take, and false while the server
+// is not closing: the balancer takes some time to send new connections elsewhere.
+func (s *Server) TimeLeft() (time.Duration, bool) {
+	end := s.end.Load()
+	if end == nil {
+		return 0, false
+	}
+	return time.Until(*end), true
+}
+
 // Serve serves until leaving is done, then goes on for the lag of the balancer,
 // finishes the requests in progress and returns. Requests that last longer than
 // grace are broken off.
@@ -100,6 +112,7 @@
 func (s *Server) stop(grace time.Duration) error {
 	end := time.Now().Add(grace)
 	time.Sleep(min(balancerLag, grace/2))
+	s.end.Store(&end)
 	s.closing.Store(true)
 	for {
 		now := time.Now()
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -65,6 +65,7 @@
 	metrics   *admin.Metrics
 	counters  *expvar.Map
 	gateway   *forward.Gateway
+	server    *front.Server
 	orders    *feed
 	upstreams *feed
 	socket    *net.UDPConn
@@ -101,7 +102,9 @@
 		Protocol: protocol, Authority: e.authority, Directory: e.directory, Board: e.board, Health: e.health,
 		Retry: budget.NewRetry(s.RetryRatio, s.RetrySlack, s.RetryWindow), Cold: e.cold, Pools: e.pools, Holders: e.holders,
 		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain, Regions: s.Regions,
+		TimeLeft: func() (time.Duration, bool) { return e.server.TimeLeft() },
 	})
+	e.server = front.New(e.gateway, e.idleLimit)
 	return e
 }
 
@@ -128,9 +131,8 @@
 	g.Go("readiness", e.serveStatus(e.settings.Readiness, http.HandlerFunc(e.ready)))
 	g.Go("metrics", e.serveStatus(e.settings.Metrics, http.HandlerFunc(e.serveMetrics)))
 	g.Go("callers", func(context.Context) error {
-		server := front.New(e.gateway, e.idleLimit)
 		defer g.Stop()
-		return server.Serve(ctx, e.settings.Callers, e.settings.Grace-graceMargin)
+		return e.server.Serve(ctx, e.settings.Callers, e.settings.Grace-graceMargin)
 	})
 	e.log.WithFields(logrus.Fields{"router": e.settings.Name, "domain": e.settings.FailureDomain}).Info("started")
 	err = g.Wait()
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -34,6 +34,11 @@
 		return false
 	}
 	j.limitTime()
+	if left, ending := j.TimeLeft(); ending && j.remaining() > left {
+		// It might be cut off; another router can serve it.
+		j.sendAway("this router is stopping")
+		return false
+	}
 	j.pickService()
 	return true
 }
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -30,6 +30,9 @@
 	Holders   *prefix.Holders
 	Observer  admission.Observer
 	Log       logrus.FieldLogger
+	// TimeLeft returns how long requests may still take, and false unless the
+	// router is about to end.
+	TimeLeft func() (time.Duration, bool)
 	// FailureDomain is where this router runs.
 	FailureDomain string
 	// Regions names the region of each failure domain.
