--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -22,8 +22,8 @@
 	peerInterval = 10 * time.Millisecond
 	// batch is how many datagrams peerInterval allows in one SendInterval.
 	batch = int(SendInterval / peerInterval)
-	// loadLifetime is the age after which a peer's counts are ignored: four
-	// missed datagrams in a small fleet.
+	// loadLifetime is the age after which a peer's counts are ignored: five
+	// intervals in a small fleet.
 	loadLifetime = time.Second
 	// silence is the time without datagrams after which a peer is taken to be
 	// out of reach, and silentIntervals the same in intervals, whichever is
@@ -38,7 +38,7 @@
 	// listedLifetime is how long a listed peer counts as live after the listing.
 	// Routers list each other more often than that.
 	listedLifetime = 10 * time.Second
-	// maxNews bounds the uses that wait for a datagram, two datagrams' worth.
+	// maxNews bounds the uses that wait for a datagram, four datagrams' worth.
 	maxNews = 128
 	// maxSeen bounds the outcomes that wait for a datagram.
 	maxSeen = 256
@@ -87,8 +87,8 @@
 	sums    map[uint64]int
 	counted int
 	checked clock.Instant
-	// next is the name of the peer that was last sent to.
-	next  string
+	// last is the name of the peer that was sent to last.
+	last  string
 	news  []news
 	seen  []seen
 	marks [topics]Mark
--- a/internal/router/digest/datagram.go
+++ b/internal/router/digest/datagram.go
@@ -126,11 +126,11 @@
 // names after those of the last round.
 func (b *Board) turn() []*peer {
 	names := slices.Sorted(maps.Keys(b.peers))
-	first, _ := slices.BinarySearch(names, b.next+"\x00")
+	first, _ := slices.BinarySearch(names, b.last+"\x00")
 	peers := make([]*peer, min(batch, len(names)))
 	for i := range peers {
 		name := names[(first+i)%len(names)]
-		peers[i], b.next = b.peers[name], name
+		peers[i], b.last = b.peers[name], name
 	}
 	return peers
 }
