--- a/internal/router/digest/board.go
+++ b/internal/router/digest/board.go
@@ -52,8 +52,8 @@
 	ageRefresh = 50 * time.Millisecond
 )
 
-// Interval returns how often a router of a fleet sends its counts to each peer.
-func Interval(routers int) time.Duration {
+// interval returns how often a router of a fleet sends its counts to each peer.
+func interval(routers int) time.Duration {
 	return max(SendInterval, time.Duration(routers)*peerInterval)
 }
 
@@ -195,7 +195,7 @@
 // silence returns the time without datagrams after which a peer is taken to be
 // out of reach.
 func (b *Board) silence() time.Duration {
-	return max(silence, silentIntervals*Interval(len(b.peers)+1))
+	return max(silence, silentIntervals*interval(len(b.peers)+1))
 }
 
 // count replaces a peer's counts in the sums.
--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -40,13 +40,13 @@
 	entry     Entry
 	coldUntil clock.Instant
 	vanished  clock.Instant
-	// key and life are computed once, since each request compares them.
-	key  uint64
-	life uint64
+	// key and engine are computed once, since each request compares them.
+	key    uint64
+	engine prefix.Engine
 }
 
 func newUpstream(e Entry) *Upstream {
-	return &Upstream{entry: e, key: xxhash.Sum64String(e.ID), life: uint64(prefix.EngineOf(e.ID, e.Born))}
+	return &Upstream{entry: e, key: xxhash.Sum64String(e.ID), engine: prefix.EngineOf(e.ID, e.Born)}
 }
 
 // Key returns the hash of the identity.
@@ -54,7 +54,7 @@
 
 // Engine returns the identity of the incarnation, by which routers tell each
 // other of the parts of prompts that it has read.
-func (u *Upstream) Engine() prefix.Engine { return prefix.Engine(u.life) }
+func (u *Upstream) Engine() prefix.Engine { return u.engine }
 
 // ID returns the upstream's identity, which changes with most restarts.
 func (u *Upstream) ID() string { return u.entry.ID }
@@ -323,7 +323,7 @@
 	if u == nil || u.vanished != 0 {
 		return 0
 	}
-	h := u.life
+	h := uint64(u.engine)
 	if u.entry.Leaving {
 		h ^= leavingBit
 	}
