Tell the next owner that an engine leaves

The handover did not carry what the report had said. Ruled out: failing load reports (the earlier owner had it after 0.4 to 0.7 s), requests that waited in a queue, late starts at the engine. Change: HandoverRequest has a field for it. The script leaving of internal/router/owner failed before.

--- a/internal/router/owner/handover.go
+++ b/internal/router/owner/handover.go
@@ -22,6 +22,7 @@
 		Limit:    uint32(limit),
 		Warm:     !u.warm.reportedCold,
 		Boot:     u.warm.boot,
+		Leaving:  u.reportedLeaving,
 	}
 	for k, g := range u.grants {
 		state.Grants = append(state.Grants, &rpc.Grant{
@@ -44,6 +45,7 @@
 	u.warm.limit = min(max(int(h.GetLimit()), p.ColdLimit()), p.MaxLoad())
 	u.warm.reportedCold = !h.GetWarm()
 	u.warm.boot = h.GetBoot()
+	u.reportedLeaving = h.GetLeaving()
 	for _, g := range h.GetGrants() {
 		u.renew(now, g)
 	}
