Read both settings files by one table reader, and take load bound and reuse window from the platform

Cause: internal/host/edge repeated fields, faults and parsers of internal/operator/settings. The load bound (2 times the mean) and the time for which an engine keeps a part (10 s) were constants, although a deployment sets them; one with a lower bound would have seen it broken. Ruled out: a common Settings type, since the two files share no key. Change: package inifile; edge.Settings has accessors; load_factor and reuse_window in the template. A key that stands twice is an error now.

--- a/cmd/hemlock-edge/main.go
+++ b/cmd/hemlock-edge/main.go
@@ -55,7 +55,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- lines.Run(logging) }()
 	log := logs.NewLogger(lines)
-	router := edge.New(s, platform.NewStore(s.Store, log), platform.Headers{}, log)
+	router := edge.New(s, platform.NewStore(s.Store(), log), platform.Headers{}, log)
 	reloading := edge.WatchReload(ctx, reload, path, log)
 	err := router.Run(ctx)
 	stop()
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -85,23 +85,24 @@
 func New(s *Settings, store Store, protocol forward.Protocol, log logrus.FieldLogger) *Edge {
 	e := &Edge{
 		settings: s, store: store, log: log,
-		authority: authority.New(s.Revocation - revocationMargin),
+		authority: authority.New(s.Revocation() - revocationMargin),
 		directory: directory.New(),
-		board:     digest.NewBoard(s.Name, uint64(time.Now().UnixNano())),
+		board:     digest.NewBoard(s.Name(), uint64(time.Now().UnixNano())),
 		health:    balance.NewHealth(),
-		cold:      budget.NewCold(s.Name, s.ColdOver, s.ColdSlack),
-		holders:   prefix.New(),
+		holders:   prefix.New(s.ReuseWindow()),
 		pools:     http1.NewPools(),
 		metrics:   admin.NewMetrics(),
 		counters:  new(expvar.Map).Init(),
 		lost:      map[string]bool{},
-		orders:    newFeed(digest.Orders, time.Duration(askShare*float64(s.ConfigInForce)), 0),
-		upstreams: newFeed(digest.Upstreams, time.Duration(askShare*float64(s.Drain)), time.Duration(settleShare*float64(s.Drain))),
+		orders:    newFeed(digest.Orders, time.Duration(askShare*float64(s.ConfigInForce())), 0),
+		upstreams: newFeed(digest.Upstreams, time.Duration(askShare*float64(s.Drain())), time.Duration(settleShare*float64(s.Drain()))),
 	}
+	over, slack := s.ColdStart()
+	e.cold = budget.NewCold(s.Name(), over, slack)
 	e.gateway = forward.New(forward.Parts{
 		Protocol: protocol, Authority: e.authority, Directory: e.directory, Board: e.board, Health: e.health,
-		Retry: budget.NewRetry(s.RetryRatio, s.RetrySlack, s.RetryWindow), Cold: e.cold, Pools: e.pools, Holders: e.holders,
-		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain, Regions: s.Regions,
+		Balancer: balance.New(s.LoadFactor()), Retry: budget.NewRetry(s.Retries()), Cold: e.cold, Pools: e.pools, Holders: e.holders,
+		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain(), Regions: s.Regions(),
 		TimeLeft: func() (time.Duration, bool) { return e.server.TimeLeft() },
 	})
 	e.server = front.New(e.gateway, e.idleLimit)
@@ -110,9 +111,9 @@
 
 // Run serves until ctx is done and all requests in progress have ended.
 func (e *Edge) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.MemoryMB()) * (1 << 20)))
 	e.leaving = ctx
-	address, err := net.ResolveUDPAddr("udp4", e.settings.Peers)
+	address, err := net.ResolveUDPAddr("udp4", e.settings.Peers())
 	if err != nil {
 		return fmt.Errorf("address for peers: %w", err)
 	}
@@ -128,13 +129,13 @@
 	g.Go("receive digests", e.receiveDigests)
 	g.Go("send digests", e.sendDigests)
 	g.Go("housekeeping", e.housekeeping)
-	g.Go("readiness", e.serveStatus(e.settings.Readiness, http.HandlerFunc(e.ready)))
-	g.Go("metrics", e.serveStatus(e.settings.Metrics, http.HandlerFunc(e.serveMetrics)))
+	g.Go("readiness", e.serveStatus(e.settings.Readiness(), http.HandlerFunc(e.ready)))
+	g.Go("metrics", e.serveStatus(e.settings.Metrics(), http.HandlerFunc(e.serveMetrics)))
 	g.Go("callers", func(context.Context) error {
 		defer g.Stop()
-		return e.server.Serve(ctx, e.settings.Callers, e.settings.Grace-graceMargin)
+		return e.server.Serve(ctx, e.settings.Callers(), e.settings.Grace()-graceMargin)
 	})
-	e.log.WithFields(logrus.Fields{"router": e.settings.Name, "domain": e.settings.FailureDomain}).Info("started")
+	e.log.WithFields(logrus.Fields{"router": e.settings.Name(), "domain": e.settings.FailureDomain()}).Info("started")
 	err = g.Wait()
 	e.log.WithError(err).Info("stopped")
 	return err
--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -174,7 +174,7 @@
 // that has not listed its peers yet does not, since after a start of the fleet
 // all would.
 func (e *Edge) watches(t digest.Topic) bool {
-	return e.peersListed.Load() && slices.Contains(e.watchers(t), e.settings.Name)
+	return e.peersListed.Load() && slices.Contains(e.watchers(t), e.settings.Name())
 }
 
 // watchers returns the names of the routers that follow a topic in the store.
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := e.store.Register(ctx, next, e.settings.Name, e.settings.Peers); err != nil {
+	if err := e.store.Register(ctx, next, e.settings.Name(), e.settings.Peers()); err != nil {
 		return 0, err
 	}
 	return next, nil
--- a/internal/host/edge/settings.go
+++ b/internal/host/edge/settings.go
@@ -3,134 +3,148 @@
 import (
 	"errors"
 	"fmt"
-	"net/netip"
-	"strconv"
+	"math"
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/operator/inifile"
 )
 
 // Settings are the settings of one router, checked. The platform fills them in
 // from a template.
 type Settings struct {
-	Name          string
-	FailureDomain string
-	// Regions names the region of each failure domain.
-	Regions   map[string]string
-	Callers   string
-	Readiness string
-	Metrics   string
-	Peers     string
-	Store     string
-	MemoryMB  int
-	// Revocation is the time within which a key that was taken away must not
-	// be honoured any more.
-	Revocation time.Duration
-	// ConfigInForce is the time within which a configuration must be in force.
-	ConfigInForce time.Duration
-	// Drain is the time within which a leaving upstream must get no more work.
-	Drain       time.Duration
-	Grace       time.Duration
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
-	ColdOver    float64
-	ColdSlack   float64
-}
+	name          string
+	failureDomain string
+	regions       map[string]string
+	callers       string
+	readiness     string
+	metrics       string
+	peers         string
+	store         string
+	memoryMB      int
 
-// Fault is one wrong setting.
-type Fault struct {
-	section, key, value, want string
-}
+	revocation    time.Duration
+	configInForce time.Duration
+	drain         time.Duration
+	grace         time.Duration
+	loadFactor    float64
+	reuseWindow   time.Duration
 
-// Error names the section, key, value and what is expected.
-func (f *Fault) Error() string {
-	return fmt.Sprintf("[%s] %s = %q: want %s", f.section, f.key, f.value, f.want)
+	retryRatio  float64
+	retrySlack  float64
+	retryWindow time.Duration
+	coldOver    float64
+	coldSlack   float64
 }
 
-// field describes one key. An empty fallback makes the key required.
-type field struct {
-	section, key, fallback, want string
-	set                          func(s *Settings, value string) bool
-}
+// Name returns the router's name, unique in the fleet.
+func (s *Settings) Name() string { return s.name }
 
-// The fallbacks of bounds are the strictest that the platform documents.
-var fields = []field{
-	{"host", "name", "", "a name", text(func(s *Settings) *string { return &s.Name })},
-	{"host", "failure_domain", "", "a name", text(func(s *Settings) *string { return &s.FailureDomain })},
-	{"listen", "callers", "", "IP:PORT", address(func(s *Settings) *string { return &s.Callers })},
-	{"listen", "readiness", "", "IP:PORT", address(func(s *Settings) *string { return &s.Readiness })},
-	{"listen", "peers", "", "IP:PORT", address(func(s *Settings) *string { return &s.Peers })},
-	{"listen", "metrics", "", "IP:PORT", address(func(s *Settings) *string { return &s.Metrics })},
-	{"store", "address", "", "IP:PORT", address(func(s *Settings) *string { return &s.Store })},
-	{"limits", "memory_mb", "128", "a number of MB from 32", func(s *Settings, v string) bool {
-		n, err := strconv.Atoi(v)
-		s.MemoryMB = n
-		return err == nil && n >= 32
-	}},
-	{"bounds", "revocation", "5s", "a duration", duration(func(s *Settings) *time.Duration { return &s.Revocation })},
-	{"bounds", "config_in_force", "2s", "a duration", duration(func(s *Settings) *time.Duration { return &s.ConfigInForce })},
-	{"bounds", "drain", "2s", "a duration", duration(func(s *Settings) *time.Duration { return &s.Drain })},
-	{"bounds", "grace", "8s", "a duration", duration(func(s *Settings) *time.Duration { return &s.Grace })},
-	{"retries", "ratio", "0.1", "a number from 0", number(func(s *Settings) *float64 { return &s.RetryRatio })},
-	{"retries", "slack", "0", "a number from 0", number(func(s *Settings) *float64 { return &s.RetrySlack })},
-	{"retries", "window", "10s", "a duration", duration(func(s *Settings) *time.Duration { return &s.RetryWindow })},
-	{"cold_start", "over", "1", "a number from 0", number(func(s *Settings) *float64 { return &s.ColdOver })},
-	{"cold_start", "slack", "0", "a number from 0", number(func(s *Settings) *float64 { return &s.ColdSlack })},
-}
+// FailureDomain returns the failure domain of this host.
+func (s *Settings) FailureDomain() string { return s.failureDomain }
 
-func text(target func(*Settings) *string) func(*Settings, string) bool {
-	return func(s *Settings, v string) bool {
-		*target(s) = v
-		return true
-	}
-}
+// Regions returns the region of each failure domain. It must not be changed.
+func (s *Settings) Regions() map[string]string { return s.regions }
 
-func address(target func(*Settings) *string) func(*Settings, string) bool {
-	return func(s *Settings, v string) bool {
-		*target(s) = v
-		a, err := netip.ParseAddrPort(v)
-		return err == nil && a.Port() != 0
-	}
-}
+// Callers returns the IP:PORT that serves callers.
+func (s *Settings) Callers() string { return s.callers }
 
-func duration(target func(*Settings) *time.Duration) func(*Settings, string) bool {
-	return func(s *Settings, v string) bool {
-		d, err := time.ParseDuration(v)
-		*target(s) = d
-		return err == nil && d > 0
-	}
+// Readiness returns the IP:PORT that the balancer checks.
+func (s *Settings) Readiness() string { return s.readiness }
+
+// Metrics returns the IP:PORT that serves counters and histograms.
+func (s *Settings) Metrics() string { return s.metrics }
+
+// Peers returns the IP:PORT that receives datagrams of other routers.
+func (s *Settings) Peers() string { return s.peers }
+
+// Store returns the IP:PORT of the platform's store.
+func (s *Settings) Store() string { return s.store }
+
+// MemoryMB returns the memory of this process in MB, above which it is killed.
+func (s *Settings) MemoryMB() int { return s.memoryMB }
+
+// Revocation returns the time within which a key that was taken away must not
+// be honoured any more.
+func (s *Settings) Revocation() time.Duration { return s.revocation }
+
+// ConfigInForce returns the time within which a configuration must be in force.
+func (s *Settings) ConfigInForce() time.Duration { return s.configInForce }
+
+// Drain returns the time within which a leaving upstream must get no more work.
+func (s *Settings) Drain() time.Duration { return s.drain }
+
+// Grace returns the time from the signal to stop to the forced end.
+func (s *Settings) Grace() time.Duration { return s.grace }
+
+// LoadFactor returns the multiple of the mean load of a service that no
+// upstream may hold.
+func (s *Settings) LoadFactor() float64 { return s.loadFactor }
+
+// ReuseWindow returns how long an engine keeps a part of a prompt at least.
+func (s *Settings) ReuseWindow() time.Duration { return s.reuseWindow }
+
+// Retries returns the fleet's budget for each service and window: a share of
+// its requests, and a number besides.
+func (s *Settings) Retries() (ratio, slack float64, window time.Duration) {
+	return s.retryRatio, s.retrySlack, s.retryWindow
 }
 
-func number(target func(*Settings) *float64) func(*Settings, string) bool {
-	return func(s *Settings, v string) bool {
-		f, err := strconv.ParseFloat(v, 64)
-		*target(s) = f
-		return err == nil && f >= 0
+// ColdStart returns what the fleet may send to an upstream in cold start each
+// second: a multiple of the rate that it bears, and a number besides.
+func (s *Settings) ColdStart() (over, slack float64) { return s.coldOver, s.coldSlack }
+
+const (
+	wantAddress  = "IP:PORT"
+	wantDuration = "a duration from 1ms"
+	wantNumber   = "a number from 0"
+	// leastMemoryMB is what a router without traffic needs.
+	leastMemoryMB = 32
+)
+
+// fields describes all keys; their values go to s. The fallbacks of bounds are
+// the strictest that the platform documents.
+func (s *Settings) fields() []inifile.Field {
+	field := inifile.NewField
+	bound := func(target *time.Duration) inifile.Setter {
+		return inifile.Duration(target, time.Millisecond, math.MaxInt64)
+	}
+	number := func(target *float64) inifile.Setter { return inifile.Decimal(target, 0, math.MaxFloat64) }
+	return []inifile.Field{
+		field("host", "name", "", "a name", inifile.Text(&s.name, inifile.IsSet)),
+		field("host", "failure_domain", "", "a name", inifile.Text(&s.failureDomain, inifile.IsSet)),
+		field("listen", "callers", "", wantAddress, inifile.Text(&s.callers, inifile.IsAddress)),
+		field("listen", "readiness", "", wantAddress, inifile.Text(&s.readiness, inifile.IsAddress)),
+		field("listen", "peers", "", wantAddress, inifile.Text(&s.peers, inifile.IsAddress)),
+		field("listen", "metrics", "", wantAddress, inifile.Text(&s.metrics, inifile.IsAddress)),
+		field("store", "address", "", wantAddress, inifile.Text(&s.store, inifile.IsAddress)),
+		field("limits", "memory_mb", "128", "a number of MB from 32", inifile.Integer(&s.memoryMB, leastMemoryMB, math.MaxInt32)),
+		field("bounds", "revocation", "5s", wantDuration, bound(&s.revocation)),
+		field("bounds", "config_in_force", "2s", wantDuration, bound(&s.configInForce)),
+		field("bounds", "drain", "2s", wantDuration, bound(&s.drain)),
+		field("bounds", "grace", "8s", wantDuration, bound(&s.grace)),
+		field("bounds", "load_factor", "2", "a number from 1", inifile.Decimal(&s.loadFactor, 1, math.MaxFloat64)),
+		field("bounds", "reuse_window", "10s", wantDuration, bound(&s.reuseWindow)),
+		field("retries", "ratio", "0.1", wantNumber, number(&s.retryRatio)),
+		field("retries", "slack", "0", wantNumber, number(&s.retrySlack)),
+		field("retries", "window", "10s", wantDuration, bound(&s.retryWindow)),
+		field("cold_start", "over", "1", wantNumber, number(&s.coldOver)),
+		field("cold_start", "slack", "0", wantNumber, number(&s.coldSlack)),
 	}
 }
 
-// LoadSettings reads the settings file at path. The error names every fault.
-// Sections and keys that are not known are ignored, since the platform may add
-// some.
+// LoadSettings reads the settings file at path. The error joins one
+// inifile.Fault for each wrong or missing key. Sections and keys that are not
+// known are ignored, since the platform may add some.
 func LoadSettings(path string) (*Settings, error) {
-	file, err := ini.Load(path)
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, path)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	s := &Settings{Regions: file.Section("failure_domains").KeysHash()}
-	var faults []error
-	for _, f := range fields {
-		value := file.Section(f.section).Key(f.key).String()
-		if value == "" {
-			value = f.fallback
-		}
-		if value == "" || !f.set(s, value) {
-			faults = append(faults, &Fault{f.section, f.key, value, f.want})
-		}
-	}
-	if err := errors.Join(faults...); err != nil {
-		return nil, fmt.Errorf("settings %s: %w", path, err)
+	s := &Settings{regions: file.Section("failure_domains").KeysHash()}
+	if err := errors.Join(inifile.ReadFilled(path, file, s.fields())...); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/operator/inifile/setter.go
@@ -0,0 +1,54 @@
+package inifile
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// Setter stores a value and reports whether it is valid.
+type Setter func(value string) bool
+
+// Text stores a value for which ok holds.
+func Text(target *string, ok func(string) bool) Setter {
+	return func(value string) bool {
+		*target = value
+		return ok(value)
+	}
+}
+
+// Integer stores a whole number from low to high.
+func Integer(target *int, low, high int) Setter {
+	return func(value string) bool {
+		n, err := strconv.Atoi(value)
+		*target = n
+		return err == nil && n >= low && n <= high
+	}
+}
+
+// Decimal stores a number from low to high.
+func Decimal(target *float64, low, high float64) Setter {
+	return func(value string) bool {
+		f, err := strconv.ParseFloat(value, 64)
+		*target = f
+		return err == nil && f >= low && f <= high
+	}
+}
+
+// Duration stores a duration from low to high.
+func Duration(target *time.Duration, low, high time.Duration) Setter {
+	return func(value string) bool {
+		d, err := time.ParseDuration(value)
+		*target = d
+		return err == nil && d >= low && d <= high
+	}
+}
+
+// IsAddress reports whether a value is an IP address and a port other than 0.
+func IsAddress(value string) bool {
+	a, err := netip.ParseAddrPort(value)
+	return err == nil && a.Port() != 0
+}
+
+// IsSet reports whether there is a value.
+func IsSet(value string) bool { return value != "" }
--- a/internal/router/balance/balance.go
+++ b/internal/router/balance/balance.go
@@ -5,10 +5,10 @@
 )
 
 const (
-	// loadFactor is the multiple of the mean load above which an engine
-	// receives no affine request. The platform judges twice the mean; the
-	// margin covers the age of peers' digests.
-	loadFactor = 1.6
+	// loadMargin is the part of the multiple of the mean load that may be used up
+	// to which an engine receives affine requests; the rest covers the age of
+	// peers' digests.
+	loadMargin = 0.8
 	// loadSlack is added to the bound so that an idle fleet keeps affinity.
 	loadSlack = 2.5
 	// evenSlack is what the bound leaves at least above an even share of the
@@ -61,25 +61,35 @@
 // none is the choice if no candidate may receive the request.
 var none = Choice{Index: -1, Reason: "none"}
 
-// Bound returns the highest load that an upstream may have after one more
-// request, given the load of all n candidates.
-func Bound(total, n int) int {
+// Balancer picks upstreams within a bound on their loads.
+type Balancer struct {
+	// factor is the multiple of the mean load within which affine requests go.
+	factor float64
+}
+
+// New returns a balancer for a fleet in which no upstream may hold more than a
+// multiple of the mean load of its service, and 3.
+func New(multiple float64) Balancer { return Balancer{loadMargin * multiple} }
+
+// bound returns the highest load that an upstream may have after one more
+// request, given the load of all n upstreams.
+func (b Balancer) bound(total, n int) int {
 	if n == 0 {
 		return 0
 	}
-	return int(math.Floor(loadFactor*float64(total+1)/float64(n) + loadSlack))
+	return int(math.Floor(b.factor*float64(total+1)/float64(n) + loadSlack))
 }
 
 // Affine picks the first candidate whose load is within the bound. Candidates
 // stand in rendezvous order of what the requests share, so that all routers send
 // equal prefixes to the same engine, and to the same next one when that is full.
 // They may be the first ones only of a large service.
-func Affine(candidates []Candidate, service Service) Choice {
+func (b Balancer) Affine(candidates []Candidate, service Service) Choice {
 	usable := usable(candidates)
 	if len(usable) == 0 {
 		return none
 	}
-	bound := affineBound(service, float64(len(usable))/float64(len(candidates)))
+	bound := b.affineBound(service, float64(len(usable))/float64(len(candidates)))
 	for rank, c := range usable {
 		if candidates[c].Load+1 <= bound {
 			reason := "home"
@@ -98,9 +108,9 @@
 // over the whole service or over the usable share of its open upstreams,
 // whichever is lower, and in any case a little more than an even share of the
 // load.
-func affineBound(s Service, usable float64) int {
+func (b Balancer) affineBound(s Service, usable float64) int {
 	open := max(1, int(math.Round(usable*float64(s.Open))))
-	bound := min(Bound(s.OpenLoad, open), Bound(s.OpenLoad+s.ClosedLoad, s.Open+s.Closed))
+	bound := min(b.bound(s.OpenLoad, open), b.bound(s.OpenLoad+s.ClosedLoad, s.Open+s.Closed))
 	even := float64(s.OpenLoad+1)/float64(open) + evenSlack
 	return max(bound, int(math.Ceil(even)))
 }
--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -45,7 +45,7 @@
 		switch td.Cmd {
 		case "affine":
 			list = ordered(td.CmdArgs[0].Key, list)
-			choice = Affine(list, serviceOf(list))
+			choice = New(2).Affine(list, serviceOf(list))
 		case "spread":
 			var draw uint64
 			td.ScanArgs(t, "draw", &draw)
@@ -83,7 +83,7 @@
 			order := ordered(key, candidates)
 			choice := Choice{Index: 0, Reason: "home"}
 			if bounded {
-				choice = Affine(order, serviceOf(candidates))
+				choice = New(2).Affine(order, serviceOf(candidates))
 			}
 			choice.Index = slices.IndexFunc(candidates, func(c Candidate) bool { return c.ID == order[choice.Index].ID })
 			if choice.Reason == "spill" && key != "hot" {
@@ -133,7 +133,7 @@
 			order := ordered(fmt.Sprint("document-", int(random.ExpFloat64()*12)), candidates)
 			service := serviceOf(candidates)
 			service.Closed = known
-			first := order[Affine(order, service).Index].ID
+			first := order[New(2).Affine(order, service).Index].ID
 			c := slices.IndexFunc(candidates, func(c Candidate) bool { return c.ID == first })
 			if float64(candidates[c].Load) > 2*float64(duration)/(open+closed)+3 {
 				over++
@@ -224,13 +224,14 @@
 	return s
 }
 
-// TestBound guards against a bound above twice the mean and 3, from which the
-// platform counts overloads.
+// TestBound guards against a bound above the multiple of the mean that a
+// deployment sets, and 3, from which the platform counts overloads.
 func TestBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 200).Draw(t, "n")
 		total := rapid.IntRange(0, 20000).Draw(t, "total")
-		if b, limit := Bound(total, n), 2*float64(total+1)/float64(n)+3; float64(b) > limit {
+		multiple := rapid.Float64Range(1, 4).Draw(t, "multiple")
+		if b, limit := New(multiple).bound(total, n), multiple*float64(total+1)/float64(n)+3; float64(b) > limit {
 			t.Fatalf("bound %d of %d on %d exceeds %.1f", b, total, n, limit)
 		}
 	})
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -24,6 +24,7 @@
 	Directory *directory.Directory
 	Board     *digest.Board
 	Health    *balance.Health
+	Balancer  balance.Balancer
 	Retry     *budget.Retry
 	Cold      *budget.Cold
 	Pools     *http1.Pools
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -106,7 +106,7 @@
 
 func (j *job) choose(now clock.Instant, candidates []balance.Candidate) balance.Choice {
 	if j.affine() {
-		return balance.Affine(candidates, j.loads.of(now, j.serviceName))
+		return j.Balancer.Affine(candidates, j.loads.of(now, j.serviceName))
 	}
 	return balance.Spread(place.Key(j.call.ID), candidates)
 }
--- a/internal/router/prefix/holders.go
+++ b/internal/router/prefix/holders.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// lifetime is how long a part is expected to stay in an engine's memory
-	// after its last known use.
-	lifetime = 10 * time.Second
 	// refresh is the age after which a use is worth telling other routers again.
 	refresh = 2 * time.Second
 	// maxParts bounds the memory to about 10 MB.
@@ -56,12 +53,19 @@
 
 // Holders is the memory of uses. It is safe for concurrent use.
 type Holders struct {
+	// lifetime is how long a part is expected to stay in an engine's memory after
+	// its last known use.
+	lifetime time.Duration
+
 	mu    sync.Mutex
 	parts map[Part][]holder // the most recent first
 }
 
-// New returns an empty memory.
-func New() *Holders { return &Holders{parts: map[Part][]holder{}} }
+// New returns an empty memory of engines that keep a part for a lifetime after
+// its last use.
+func New(lifetime time.Duration) *Holders {
+	return &Holders{lifetime: lifetime, parts: map[Part][]holder{}}
+}
 
 // Used notes a use, and reports whether it is news for other routers.
 func (h *Holders) Used(now clock.Instant, u Use) bool {
@@ -93,7 +97,7 @@
 	for _, p := range slices.Backward(parts) {
 		var others []Engine
 		for _, o := range h.parts[p] {
-			if now.Sub(o.used) > lifetime {
+			if now.Sub(o.used) > h.lifetime {
 				continue
 			}
 			if o.engine == engine {
--- a/internal/router/prefix/holders_test.go
+++ b/internal/router/prefix/holders_test.go
@@ -12,7 +12,8 @@
 // less, or what nobody asked for lately.
 func TestSource(t *testing.T) {
 	const system, brief, one, two, three = Part(1), Part(2), Engine(1), Engine(2), Engine(3)
-	h := New()
+	const lifetime = 10 * time.Second
+	h := New(lifetime)
 	now := clock.Instant(time.Hour)
 	parts := []Part{system, brief}
 	for _, u := range []Use{{system, one}, {brief, one}, {system, two}} {
