Show what the tests of retry budget, cold start and busy upstreams guard against

Cause: these tests had no red run, so nobody could tell whether the loads that they play reach the limits. Change: each plays the naive version beside it: routers that each take the whole sum, an upstream that wants to be left alone and is taken for unreachable, a datagram in turn in place of an answer.

--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -287,6 +287,12 @@
 	if !peer.Suspect(now, "a") {
 		t.Error("peers are not told")
 	}
+	naive := NewHealth()
+	naive.Unreachable(now, "a")
+	naive.OK(now, "a")
+	if naive.Suspect(now, "a") {
+		t.Error("an upstream that is taken for unreachable stays avoided after an answer, so the sequence shows nothing")
+	}
 }
 
 // TestTold guards against an upstream that fails for the whole fleet and that
--- a/internal/router/budget/budget_test.go
+++ b/internal/router/budget/budget_test.go
@@ -40,6 +40,30 @@
 	})
 }
 
+// TestNaiveRetry shows that routers which each take the whole slack exceed the
+// budget under a load that TestRetry's routers keep it under.
+func TestNaiveRetry(t *testing.T) {
+	const ratio, slack, length, n = 0.2, 58, 10 * time.Second, 9
+	repeats := func(routers int) (granted int) {
+		now := clock.Instant(time.Hour)
+		for range n {
+			r := NewRetry(ratio, slack, length)
+			for range 100 {
+				if r.Repeat(now, "desk", routers) {
+					granted++
+				}
+			}
+		}
+		return granted
+	}
+	if got := repeats(n); got > slack || got < slack/2 {
+		t.Errorf("%d repeats of routers that know each other, want up to %d", got, slack)
+	}
+	if got := repeats(1); got <= slack {
+		t.Errorf("%d repeats of routers that take the whole budget: the load shows nothing", got)
+	}
+}
+
 func within(times []clock.Instant, now clock.Instant, d time.Duration) int {
 	n := 0
 	for _, at := range times {
@@ -79,5 +103,17 @@
 		if len(sent) == 0 {
 			t.Errorf("%d routers sent nothing", n)
 		}
+		naive := 0
+		for _, name := range names {
+			alone := NewCold(name, over, slack)
+			for range 100 {
+				if alone.Allow(now, "engine", rate, []string{name}) {
+					naive++
+				}
+			}
+		}
+		if n > 1 && float64(naive) <= rate*over+slack {
+			t.Errorf("%d routers that each take the whole rate send %d: the load shows nothing", n, naive)
+		}
 	}
 }
--- a/internal/router/digest/board_test.go
+++ b/internal/router/digest/board_test.go
@@ -141,6 +141,9 @@
 	aNow, bNow := clock.Instant(time.Hour), clock.Instant(3*time.Hour)
 	deliver(t, b, bNow, a.Letters(aNow)[0].Content())
 	a.SetMark(Orders, Mark{Hash: 5, Revision: 7, Confirmed: aNow})
+	if h := deliver(t, b, bNow, a.Letters(aNow)[0].Content()); h.Mark(Orders).Confirmed > bNow.Add(-time.Millisecond) {
+		t.Error("a datagram in turn confirms as much as an answer, so the sequence shows nothing")
+	}
 	question := b.Ask(bNow, []string{"a", "unknown"}, 3)
 	if len(question) != 1 {
 		t.Fatalf("%d peers are asked, want the one in reach", len(question))
