Keep the logs of failure scripts that fail

Cause: four entries of KNOWN-RED.txt were seen once and could not be traced, since the logs of the processes went with the temporary directory. Change: the flag -failure.logs names a directory for them; make test gives one under target/. Ruled out: keeping the logs of all scripts, of which nobody reads those that pass.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 test:
 	@cat KNOWN-RED.txt 2>/dev/null || true
 	$(TEST) $$($(GO) list ./... | grep -v '$(FAILURE:.%=%)$$')
-	$(TEST) $(FAILURE)
+	$(TEST) $(FAILURE) -failure.logs $(CURDIR)/target/failure-logs
 
 lint:
 	test -z "$$(gofumpt -l . | tee /dev/stderr)"
--- a/internal/host/failure/fleet_test.go
+++ b/internal/host/failure/fleet_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -167,8 +168,23 @@
 	return b.run("hemlock-standin", append([]string{name}, args...)...)
 }
 
+// keepLogs names a directory for the logs of scripts that fail.
+var keepLogs = flag.String("failure.logs", "", "directory for the logs of all processes of scripts that fail")
+
+// keep copies the logs of a script that failed.
+func (b *bench) keep() {
+	if !b.t.Failed() || *keepLogs == "" {
+		return
+	}
+	to := filepath.Join(*keepLogs, fmt.Sprintf("%s-%d", filepath.Base(b.t.Name()), time.Now().Unix()))
+	if err := os.CopyFS(to, os.DirFS(b.dir)); err != nil {
+		b.t.Errorf("keep logs: %v", err)
+	}
+}
+
 // close ends what the bench started, by process.
 func (b *bench) close() {
+	defer b.keep()
 	all := []*process{}
 	for _, n := range b.nodes {
 		all = append(all, n.process)
