Fetch a changed configuration from the peer that tells of it

Ruled out: sending the document in datagrams (386 KB after big_config), keeping it from the store only for those in reach (the refusals stay). Change: a router fetches the document over the port for peers from the one that stated the newer mark; age and confirmation are those of the sender, counted from the sending of the call. Tests: TestConfigurationFromPeers (40 reads of 5 changes before, 10 allowed) and TestTurnedAway (key still honoured after 5 s) failed before; TestRelayedDocument, TestRelayWaits.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/forward"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/rpc"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
 )
 
@@ -68,6 +69,7 @@
 	server    *front.Server
 	orders    *feed
 	upstreams *feed
+	relay     *relay
 	socket    *net.UDPConn
 	leaving   context.Context
 	// listed is set once the upstreams have been listed.
@@ -106,6 +108,7 @@
 		TimeLeft: func() (time.Duration, bool) { return e.server.TimeLeft() },
 	})
 	e.server = front.New(e.gateway, e.idleLimit)
+	e.relay = newRelay(e.orders)
 	return e
 }
 
@@ -129,6 +132,7 @@
 	g.Go("receive digests", e.receiveDigests)
 	g.Go("send digests", e.sendDigests)
 	g.Go("housekeeping", e.housekeeping)
+	g.Go("relay", e.serveStatus(e.settings.Peers(), rpc.NewRelayServer(e.relay)))
 	g.Go("readiness", e.serveStatus(e.settings.Readiness(), http.HandlerFunc(e.ready)))
 	g.Go("metrics", e.serveStatus(e.settings.Metrics(), http.HandlerFunc(e.serveMetrics)))
 	g.Go("callers", func(context.Context) error {
--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -57,6 +57,9 @@
 	read clock.Instant
 	// differs is since when peers state a newer and different state.
 	differs clock.Instant
+	// ahead is the address of the peer that last stated such a state, empty if
+	// none did since the state was read.
+	ahead string
 }
 
 func newFeed(t digest.Topic, patience, settling time.Duration) *feed {
@@ -70,6 +73,7 @@
 	f.mark.Hash, f.mark.Revision = m.Hash, m.Revision
 	f.mark.Confirmed = max(f.mark.Confirmed, m.Confirmed)
 	f.read = max(f.read, m.Confirmed)
+	f.ahead = ""
 	select {
 	case <-f.wake:
 		// The change that a peer told of meanwhile has been read.
@@ -101,6 +105,14 @@
 	f.mark.Revision = 0
 }
 
+// age returns the time since the state was last confirmed, and false if it is
+// not known.
+func (f *feed) age(now clock.Instant) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.mark.Confirmed), f.mark.Confirmed != 0
+}
+
 // aging reports whether the state is known and was not confirmed for so long that
 // peers should be asked.
 func (f *feed) aging(now clock.Instant) bool {
@@ -109,10 +121,10 @@
 	return f.mark.Confirmed != 0 && now.Sub(f.mark.Confirmed) > time.Duration(askPeersShare*float64(f.patience))
 }
 
-// hear takes a peer's mark and reports whether it confirms this router's state.
-// A different state that is newer, and stays different for the settling time,
-// wakes the follower.
-func (f *feed) hear(now clock.Instant, m digest.Mark) (confirmed bool) {
+// hear takes the mark of a peer at an address and reports whether it confirms
+// this router's state. A different state that is newer, and stays different for
+// the settling time, wakes the follower.
+func (f *feed) hear(now clock.Instant, from string, m digest.Mark) (confirmed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m.Confirmed == 0 || f.mark.Confirmed == 0 {
@@ -127,6 +139,7 @@
 	if m.Confirmed <= f.read {
 		return false
 	}
+	f.ahead = from
 	if f.differs == 0 {
 		f.differs = now
 	}
@@ -140,6 +153,14 @@
 	return false
 }
 
+// source returns the address of a peer that has a newer state, empty if none is
+// known, and the instant after which that state must have been confirmed.
+func (f *feed) source() (address string, read clock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ahead, f.read
+}
+
 // await returns once the store should be asked: at once for a watcher, and
 // otherwise for a change that a peer told of or when told nothing for long. It
 // reports whether this router watches.
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -44,11 +44,19 @@
 func (e *Edge) followOrders(ctx context.Context) error {
 	var revision uint64
 	for ctx.Err() == nil {
-		if !e.await(ctx, e.orders) {
+		watching := e.await(ctx, e.orders)
+		if !watching {
 			revision = 0
+			if e.fetchOrders(ctx) {
+				continue
+			}
 		}
 		next, err := e.stepOrders(ctx, clock.Now(), revision)
 		e.dependency("orders", err)
+		if watching && err != nil {
+			// The store may turn away this router only.
+			e.fetchOrders(ctx)
+		}
 		e.afterCall(ctx, digest.Orders, err)
 		revision = next
 	}
@@ -73,16 +81,23 @@
 	if err != nil {
 		return 0, err
 	}
+	e.adoptOrders(orders, sent, at, "store")
+	return at, nil
+}
+
+// adoptOrders puts orders into force that were the newest at the instant sent,
+// with all changes up to a revision.
+func (e *Edge) adoptOrders(orders Orders, sent clock.Instant, at uint64, from string) {
 	if orders.Table != nil && e.authority.Adopt(orders.Table) {
 		e.log.WithFields(logrus.Fields{
-			"config": orders.Table.Version(), "revision": at, "read_ms": clock.Since(sent).Milliseconds(),
+			"config": orders.Table.Version(), "revision": at, "read_ms": clock.Since(sent).Milliseconds(), "from": from, "bytes": len(orders.Document),
 		}).Info("configuration in force")
 	}
 	if e.directory.SetEvacuated(orders.Evacuated) {
 		e.log.WithFields(logrus.Fields{"domains": orders.Evacuated, "revision": at}).Info("evacuated failure domains changed")
 	}
+	e.relay.keep(orders.Document, at)
 	e.confirmOrders(sent)
-	return at, nil
 }
 
 // confirmOrders notes that the present orders are the newest as of an instant.
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -119,7 +119,7 @@
 		if err != nil {
 			e.counters.Add("digests_malformed", 1)
 		}
-		e.hear(now, heard)
+		e.hear(now, from.String(), heard)
 		if l, ok := e.board.Answer(now, heard.Asker()); ok {
 			e.send(l.Address(), l.Content())
 		}
@@ -141,17 +141,17 @@
 }
 
 // hear takes in what a peer tells.
-func (e *Edge) hear(now clock.Instant, h digest.Heard) {
+func (e *Edge) hear(now clock.Instant, from string, h digest.Heard) {
 	for _, s := range h.Seen() {
 		e.health.Told(now, s)
 	}
 	for _, u := range h.Uses() {
 		e.holders.Used(now, u)
 	}
-	if m := h.Mark(digest.Orders); e.orders.hear(now, m) {
+	if m := h.Mark(digest.Orders); e.orders.hear(now, from, m) {
 		e.authority.Confirm(m.Confirmed)
 	}
-	e.upstreams.hear(now, h.Mark(digest.Upstreams))
+	e.upstreams.hear(now, from, h.Mark(digest.Upstreams))
 }
 
 // sendDigests sends this router's counts to the peers whose turn it is.
--- a/internal/host/edge/store.go
+++ b/internal/host/edge/store.go
@@ -22,6 +22,8 @@
 	Table *route.Table
 	// Evacuated are the failure domains that are out of service.
 	Evacuated map[string]bool
+	// Document is the encoded form that Store.Decode reads.
+	Document []byte
 }
 
 // Store is the platform's store, seen as what a router needs. Revisions order
@@ -30,6 +32,8 @@
 type Store interface {
 	// Orders reads what operators have written.
 	Orders(ctx context.Context) (Orders, uint64, error)
+	// Decode reads orders from the document of a peer's.
+	Decode(document []byte) (Orders, error)
 	// AwaitOrders reports whether operators wrote anything after a revision, and
 	// returns once they did or after wait.
 	AwaitOrders(ctx context.Context, after uint64, wait time.Duration) (changed bool, revision uint64, err error)
