--- a/internal/host/edge/feed.go
+++ b/internal/host/edge/feed.go
@@ -182,7 +182,7 @@
 		case <-ctx.Done():
 		case <-f.wake:
 			t.Stop()
-			e.log.WithField("topic", feedName[f.topic]).Info("asks store, told of a change")
+			e.log.WithField("topic", feedName[f.topic]).Info("told of a newer state")
 			return false
 		case <-t.C:
 		}
