Let requests wait for the first configuration of a router that has just started

Their logs show 503 "no configuration" between started and configuration in force, up to half a second, since 78 routers read 435 KB at once; callers came back after 50 ms to routers that had just started as well. Ruled out: a longer Retry-After (one retry, and the wait is not known), opening the listener later (a refused connection tells the caller less). Change: in the first second of a router a request waits up to 0.5 s, and a third of its time at most, until configuration and upstreams are known. Later it is refused at once, also while the store is away.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -70,6 +70,7 @@
 	orders    *feed
 	upstreams *feed
 	relay     *relay
+	start     *forward.Start
 	socket    *net.UDPConn
 	leaving   context.Context
 	// listed is set once the upstreams have been listed.
@@ -96,6 +97,7 @@
 		metrics:   admin.NewMetrics(),
 		counters:  new(expvar.Map).Init(),
 		lost:      map[string]bool{},
+		start:     forward.NewStart(clock.Now()),
 		orders:    newFeed(digest.Orders, time.Duration(askShare*float64(s.ConfigInForce())), 0),
 		upstreams: newFeed(digest.Upstreams, time.Duration(askShare*float64(s.Drain())), time.Duration(settleShare*float64(s.Drain()))),
 	}
@@ -105,6 +107,7 @@
 		Protocol: protocol, Authority: e.authority, Directory: e.directory, Board: e.board, Health: e.health,
 		Balancer: balance.New(s.LoadFactor()), Retry: budget.NewRetry(s.Retries()), Cold: e.cold, Pools: e.pools, Holders: e.holders,
 		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain(), Regions: s.Regions(),
+		Start:    e.start,
 		TimeLeft: func() (time.Duration, bool) { return e.server.TimeLeft() },
 	})
 	e.server = front.New(e.gateway, e.idleLimit)
@@ -145,6 +148,14 @@
 	return err
 }
 
+// learned ends the start of the router once it knows a configuration and the
+// upstreams.
+func (e *Edge) learned() {
+	if e.listed.Load() && e.authority.Table() != nil {
+		e.start.Complete()
+	}
+}
+
 func (e *Edge) idleLimit() time.Duration {
 	if t := e.authority.Table(); t != nil {
 		return t.Limits().IdleTimeout
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -98,6 +98,7 @@
 	}
 	e.relay.keep(orders.Document, at)
 	e.confirmOrders(sent)
+	e.learned()
 }
 
 // confirmOrders notes that the present orders are the newest as of an instant.
@@ -150,6 +151,7 @@
 		e.returned(away)
 		e.logChanges(e.directory.Replace(clock.Now(), entries, at), at)
 		e.listed.Store(true)
+		e.learned()
 		e.confirmUpstreams(sent, at)
 		return nil
 	}
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -13,6 +13,8 @@
 // admit checks a request against the configuration and reads its body. It
 // answers the request and returns false if it cannot be served.
 func (j *job) admit() bool {
+	j.Start.await(j.request.Context(), j.arrived, j.call.Patience)
+	j.table = j.Authority.Table()
 	if j.table == nil {
 		j.sendAway("no configuration")
 		return false
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -31,6 +31,8 @@
 	Holders   *prefix.Holders
 	Observer  admission.Observer
 	Log       logrus.FieldLogger
+	// Start is where requests wait for what the router does not know yet.
+	Start *Start
 	// TimeLeft returns how long requests may still take, and false unless the
 	// router is about to end.
 	TimeLeft func() (time.Duration, bool)
@@ -75,6 +77,6 @@
 	return &job{
 		Gateway: g, writer: w, request: r,
 		call: g.Protocol.Call(r.Header), arrived: clock.Now(), start: time.Now(),
-		tried: map[string]bool{}, table: g.Authority.Table(),
+		tried: map[string]bool{},
 	}
 }
