Silence connections at once in TestSilentKeptConnection

Cause: the test failed once (stream_test.go:258, no error where ErrSilent is expected) while other packages ran. It sent on a channel, and a goroutine muted the connections some time after it had received: the request that should meet a silent connection could be quicker. Change: the test mutes them itself, under the lock. The check is the same.

--- a/internal/upstream/engine/stream_test.go
+++ b/internal/upstream/engine/stream_test.go
@@ -235,9 +235,7 @@
 // it, and others kept to the same address, must not fail later requests.
 func TestSilentKeptConnection(t *testing.T) {
 	f := engineOf(t, []step{say("1=[DONE]")})
-	silent := make(chan struct{})
-	t.Cleanup(func() { close(silent) })
-	address, open := silencer(t, f.Listener.Addr().String(), silent)
+	address, open, silence := silencer(t, f.Listener.Addr().String())
 	call := f.call()
 	call.Address = address
 	client := New(pool.New(), WithReadLimit(200*time.Millisecond))
@@ -253,7 +251,7 @@
 	if n := open(); n != 1 {
 		t.Fatalf("%d connections for two streams; none was kept", n)
 	}
-	silent <- struct{}{}
+	silence()
 	if err := stream(); !errors.Is(err, ErrSilent) {
 		t.Fatal(err)
 	}
@@ -262,9 +260,9 @@
 	}
 }
 
-// silencer forwards connections. After a value on the channel, those that are
-// open then pass nothing more.
-func silencer(t *testing.T, target string, silent chan struct{}) (address string, open func() int) {
+// silencer forwards connections. Those that are open when silence is called pass
+// nothing more once it returns.
+func silencer(t *testing.T, target string) (address string, open func() int, silence func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -288,15 +286,13 @@
 			}
 		}
 	}
-	go func() {
-		for range silent {
-			mu.Lock()
-			for n := range count {
-				muted[n] = true
-			}
-			mu.Unlock()
+	silence = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for n := range count {
+			muted[n] = true
 		}
-	}()
+	}
 	go func() {
 		for {
 			in, err := listener.Accept()
@@ -315,9 +311,10 @@
 			go forward(n, in, out)
 		}
 	}()
-	return listener.Addr().String(), func() int {
+	open = func() int {
 		mu.Lock()
 		defer mu.Unlock()
 		return count
 	}
+	return listener.Addr().String(), open, silence
 }
