One copy of sleeping, of reading refusals, and of failure headers

Change: clock.Sleep, package answer with tests, entry.SetFailure, entry.HeaderSize. A header's size now counts separators as sent; waits of engines and services may have fractions, and one over an hour counts as none.

--- a/internal/caller/chat/fault.go
+++ b/internal/caller/chat/fault.go
@@ -4,11 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/caller/entry"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/engine"
 )
@@ -150,12 +149,7 @@
 
 // write sends the failure as a whole response.
 func (f failure) write(w http.ResponseWriter) error {
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(verdict.Header, f.verdict.String())
-	if f.retryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
-	}
+	entry.SetFailure(w.Header(), f.verdict, f.retryAfter)
 	w.WriteHeader(f.status)
 	_, err := w.Write(f.body())
 	return err
--- a/internal/caller/entry/entry.go
+++ b/internal/caller/entry/entry.go
@@ -3,9 +3,12 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"math"
 	"net/http"
 	"regexp"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 )
@@ -43,6 +46,16 @@
 	return n
 }
 
+// SetFailure sets the fields of an answer that tells a caller of a failure:
+// whether the request ran, and when to come back if that is known.
+func SetFailure(h http.Header, v verdict.Verdict, retryAfter time.Duration) {
+	h.Set("Content-Type", "application/json")
+	h.Set(verdict.Header, v.String())
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+}
+
 // BearerKey returns the bearer key of a request, empty if it has none.
 func BearerKey(h http.Header) string {
 	scheme, key, _ := strings.Cut(h.Get("Authorization"), " ")
--- a/internal/caller/plain/response.go
+++ b/internal/caller/plain/response.go
@@ -6,11 +6,10 @@
 	"errors"
 	"io"
 	"maps"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/caller/entry"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/once"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 	upstream "github.com/hemlockcroft/hemlockcroft/internal/upstream/plain"
@@ -188,12 +187,7 @@
 
 // write sends the error as a whole response.
 func (f failed) write(w http.ResponseWriter) error {
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(verdict.Header, f.verdict.String())
-	if f.retryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
-	}
+	entry.SetFailure(w.Header(), f.verdict, f.retryAfter)
 	w.WriteHeader(f.status)
 	// Strings always encode.
 	text, _ := json.Marshal(errorBody{errorDetail{Message: f.message, Code: codes[f.verdict]}})
--- a/internal/host/daemon/stop.go
+++ b/internal/host/daemon/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 )
 
 // errStop ends the run group after a graceful stop.
@@ -32,7 +34,7 @@
 	if err := d.control(group, func(time.Time) { d.claims.Leave() }); err != nil {
 		return err
 	}
-	if !sleep(group, d.settings.BalancerLag()) {
+	if !clock.Sleep(group, d.settings.BalancerLag()) {
 		return group.Err()
 	}
 	ctx, cancel := context.WithTimeout(group, d.settings.StopTimeout())
@@ -63,17 +65,7 @@
 			return
 		}
 		if !left {
-			sleep(ctx, stopPoll)
+			clock.Sleep(ctx, stopPoll)
 		}
 	}
 }
-
-// sleep waits for the duration and reports whether ctx is still running.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -202,7 +202,7 @@
 func (e *Edge) housekeeping(ctx context.Context) error {
 	reported := clock.Now()
 	for ctx.Err() == nil {
-		pause(ctx, housekeepingInterval)
+		clock.Sleep(ctx, housekeepingInterval)
 		now := clock.Now()
 		if now.Sub(reported) >= summaryInterval {
 			reported = now
--- a/internal/host/edge/orders.go
+++ b/internal/host/edge/orders.go
@@ -131,7 +131,7 @@
 		away = err != nil && (away || !errors.Is(err, ErrCompacted))
 		e.afterCall(ctx, digest.Upstreams, err)
 		if watching && err == nil {
-			pause(ctx, upstreamsPause)
+			clock.Sleep(ctx, upstreamsPause)
 		}
 	}
 	return ctx.Err()
@@ -235,14 +235,5 @@
 	if !e.watches(t) {
 		limit = max(limit, time.Duration(len(e.board.Routers(clock.Now())))*routerPause)
 	}
-	pause(ctx, min(retryPause<<min(e.failures.Add(1)-1, 8), limit))
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	clock.Sleep(ctx, min(retryPause<<min(e.failures.Add(1)-1, 8), limit))
 }
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -34,7 +34,7 @@
 	for step := 0; ctx.Err() == nil; {
 		var err error
 		if lease, err = e.renew(ctx, lease); err == nil && step == 0 {
-			pause(ctx, firstListing)
+			clock.Sleep(ctx, firstListing)
 		}
 		if err == nil && step%listEvery == 0 {
 			err = e.listPeers(ctx)
@@ -44,10 +44,10 @@
 			step++
 		}
 		if step == 0 {
-			pause(ctx, registerPause)
+			clock.Sleep(ctx, registerPause)
 			continue
 		}
-		pause(ctx, renewInterval)
+		clock.Sleep(ctx, renewInterval)
 	}
 	if lease != 0 {
 		// The run group's context is over; the call has its own time-out.
@@ -157,7 +157,7 @@
 // sendDigests sends this router's counts to the peers whose turn it is.
 func (e *Edge) sendDigests(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, digest.SendInterval)
+		clock.Sleep(ctx, digest.SendInterval)
 		now := clock.Now()
 		e.board.TellSeen(e.health.News())
 		letters := e.board.Letters(now)
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/caller/entry"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 )
 
@@ -19,7 +20,7 @@
 		j.sendAway("no configuration")
 		return false
 	}
-	if limit := j.table.Limits().HeaderBytes; limit > 0 && headerBytes(j.request.Header) > limit {
+	if limit := j.table.Limits().HeaderBytes; limit > 0 && entry.HeaderSize(j.request.Header) > limit {
 		j.reject(http.StatusRequestHeaderFieldsTooLarge, "header too large")
 		return false
 	}
@@ -45,17 +46,6 @@
 	return true
 }
 
-// headerBytes returns the size of the names and values of a header.
-func headerBytes(h http.Header) int {
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v)
-		}
-	}
-	return n
-}
-
 // authorize finds the workspace of the request's key.
 func (j *job) authorize() bool {
 	if !j.table.NeedsKey(j.route) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hemlockcroft/hemlockcroft/internal/standin"
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 )
 
 // Options are the properties of an engine; New replaces zero values of fields
@@ -377,12 +377,12 @@
 	case <-u.ctx.Done():
 		return
 	}
-	if !standin.Sleep(u.ctx, s.prefill(u)) {
+	if !clock.Sleep(u.ctx, s.prefill(u)) {
 		return
 	}
 	answer := answerWords(u.messages)
 	for i, word := range answer {
-		if i > 0 && !standin.Sleep(u.ctx, s.interval()) {
+		if i > 0 && !clock.Sleep(u.ctx, s.interval()) {
 			return
 		}
 		s.append(u, chunk{text: word})
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin"
 )
 
@@ -218,7 +219,7 @@
 		standin.Silence(r)
 	}
 	body, ok := standin.Body(w, r)
-	if !ok || !standin.Sleep(r.Context(), time.Duration(faults.SlowMS)*time.Millisecond) {
+	if !ok || !clock.Sleep(r.Context(), time.Duration(faults.SlowMS)*time.Millisecond) {
 		return nil, false
 	}
 	return protocolNames(body), true
--- a/internal/standin/load/balancer.go
+++ b/internal/standin/load/balancer.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hemlockcroft/hemlockcroft/internal/standin"
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 )
 
 const (
@@ -35,7 +35,7 @@
 	client := &http.Client{Timeout: readyTimeout}
 	for i, url := range b.urls {
 		checks.Go(func() {
-			for standin.Sleep(ctx, readyInterval) {
+			for clock.Sleep(ctx, readyInterval) {
 				b.unready[i].Store(!ready(ctx, client, url))
 			}
 		})
--- a/internal/standin/load/check.go
+++ b/internal/standin/load/check.go
@@ -10,8 +10,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
-	"github.com/hemlockcroft/hemlockcroft/internal/standin"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/engine"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/plain"
 )
@@ -41,7 +41,7 @@
 			if err == nil && status == http.StatusOK {
 				break
 			}
-			if !standin.Sleep(ctx, pollInterval) {
+			if !clock.Sleep(ctx, pollInterval) {
 				return fmt.Errorf("%s is not ready: status %d, %v", url, status, err)
 			}
 		}
@@ -80,7 +80,7 @@
 	for {
 		reply, err := Send(ctx, http.DefaultClient, c)
 		refused := err == nil && reply.Executed == verdict.NotRun.String() && reply.RetryAfter > 0
-		if !refused || !standin.Sleep(ctx, reply.RetryAfter) {
+		if !refused || !clock.Sleep(ctx, reply.RetryAfter) {
 			return reply, err
 		}
 	}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
-	"github.com/hemlockcroft/hemlockcroft/internal/standin"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/engine"
 )
 
@@ -147,7 +147,7 @@
 }
 
 func (g *generator) surge(ctx context.Context) {
-	if !standin.Sleep(ctx, g.options.SurgeAt) {
+	if !clock.Sleep(ctx, g.options.SurgeAt) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, g.options.SurgeFor)
@@ -173,7 +173,7 @@
 		if reply.Status != http.StatusOK {
 			wait = max(wait, min(reply.RetryAfter, maxWait))
 		}
-		if !standin.Sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return
 		}
 	}
--- a/internal/standin/load/naive.go
+++ b/internal/standin/load/naive.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/platform/hosts"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/place"
-	"github.com/hemlockcroft/hemlockcroft/internal/standin"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/engine"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/pool"
 )
@@ -150,7 +150,7 @@
 
 // readLoads keeps the load reports up to date until ctx ends.
 func (n *naive) readLoads(ctx context.Context, client *engine.Client) {
-	for standin.Sleep(ctx, reportInterval) {
+	for clock.Sleep(ctx, reportInterval) {
 		n.readAll(ctx, client)
 	}
 }
--- a/internal/standin/load/skew.go
+++ b/internal/standin/load/skew.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/hemlockcroft/hemlockcroft/internal/standin"
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/engine"
 )
 
@@ -22,7 +22,7 @@
 // sampleSkew records largest over mean load of the engines that answer, until
 // ctx ends.
 func (g *generator) sampleSkew(ctx context.Context) {
-	for standin.Sleep(ctx, skewInterval) {
+	for clock.Sleep(ctx, skewInterval) {
 		loads := sampleLoads(ctx, g.options.Engines)
 		most, total := 0, 0
 		for _, n := range loads {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin"
 )
@@ -97,7 +98,7 @@
 		return
 	}
 	e := s.record(r, body)
-	if !standin.Sleep(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
+	if !clock.Sleep(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
 		return
 	}
 	switch {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -112,18 +112,3 @@
 	<-r.Context().Done()
 	Drop()
 }
-
-// Sleep waits for d or until ctx ends, and reports whether it waited in full.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/upstream/engine/status.go
+++ b/internal/upstream/engine/status.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/answer"
 )
 
 // StatusError is an error response of an engine.
@@ -32,10 +32,6 @@
 	return fmt.Sprintf("engine returned status %d: %s", e.status, e.message)
 }
 
-// refusals are the statuses with which an engine may state that it did not
-// run a request.
-var refusals = map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
-
 // finalStatuses judge the request itself, so another engine would return the
 // same.
 var finalStatuses = map[int]bool{
@@ -56,13 +52,10 @@
 func readStatus(resp *http.Response) *StatusError {
 	// A body that cannot be read leaves the message empty.
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, errorBodyLimit))
-	e := &StatusError{status: resp.StatusCode, message: errorMessage(body)}
-	if refusals[resp.StatusCode] && verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun {
+	e := &StatusError{status: resp.StatusCode, message: errorMessage(body), retryAfter: answer.RetryAfter(resp.Header)}
+	if answer.StatedNotRun(resp) {
 		e.verdict = verdict.NotRun
 	}
-	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && s > 0 {
-		e.retryAfter = time.Duration(s) * time.Second
-	}
 	return e
 }
 
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 )
 
@@ -132,7 +133,7 @@
 		if !s.mayResume(err) || tries >= resumeTries || s.result.resumes >= resumeTotal {
 			return err
 		}
-		if !sleep(s.ctx, s.client.resumeDelay<<tries) {
+		if !clock.Sleep(s.ctx, s.client.resumeDelay<<tries) {
 			return err
 		}
 		tries++
@@ -154,17 +155,6 @@
 	return !errors.As(err, &status) || status.status >= http.StatusInternalServerError
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // connect sends the request and returns when the response has begun.
 func (s *stream) connect() error {
 	if s.hangUp != nil {
--- a/internal/upstream/plain/client.go
+++ b/internal/upstream/plain/client.go
@@ -8,10 +8,10 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/answer"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/pool"
 )
 
@@ -126,9 +126,9 @@
 		return nil, err
 	}
 	b := &body{inner: resp.Body, ctx: ctx, hangUp: hangUp, guard: guard, limit: c.readLimit}
-	if call.TrustNotRun && statedNotRun(resp) {
+	if call.TrustNotRun && answer.StatedNotRun(resp) {
 		_ = b.Close()
-		return nil, verdict.New(verdict.NotRun, ErrNotRun).WithStatus(resp.StatusCode).WithRetryAfter(retryAfter(resp))
+		return nil, verdict.New(verdict.NotRun, ErrNotRun).WithStatus(resp.StatusCode).WithRetryAfter(answer.RetryAfter(resp.Header))
 	}
 	header := EndToEnd(resp.Header)
 	header.Del(verdict.Header)
@@ -183,26 +183,10 @@
 	return verdict.New(verdict.Unknown, err).WithStatus(status)
 }
 
-// refusals are the statuses with which a service may state that it did not
-// run a call.
-var refusals = map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
-
-func statedNotRun(resp *http.Response) bool {
-	return refusals[resp.StatusCode] && verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun
-}
-
-func retryAfter(resp *http.Response) time.Duration {
-	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || s < 0 {
-		return 0
-	}
-	return time.Duration(s) * time.Second
-}
-
 // judge returns the verdict on a response. An error of the server side says
 // nothing about how far the call came.
 func judge(status int) verdict.Verdict {
-	if status >= http.StatusInternalServerError || refusals[status] || status == http.StatusRequestTimeout {
+	if status >= http.StatusInternalServerError || answer.Refusal(status) || status == http.StatusRequestTimeout {
 		return verdict.Unknown
 	}
 	return verdict.Ran
