Let callers of a full plain service come back later

Change: requests that are spread evenly come back after 250 ms, since the other upstreams are about as full; those that belong to an engine after 50 ms. Tests: TestComeBack plays the load beside the naive version.

--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -119,7 +119,8 @@
 		}
 		// Reading the rest of the body keeps the connection usable.
 		_, _ = io.Copy(io.Discard, io.LimitReader(res, maxReply))
-		return verdict.Errorf(verdict.NotRun, "upstream %s rejected the request with status %d", u.ID(), res.Status())
+		rejected := verdict.Errorf(verdict.NotRun, "upstream %s rejected the request with status %d", u.ID(), res.Status())
+		return rejected.WithRetryAfter(comeBack(j.affine()))
 	}
 	success := res.Status() >= 200 && res.Status() < 300
 	if success && !a.Signed {
--- a/internal/router/forward/repeat.go
+++ b/internal/router/forward/repeat.go
@@ -25,6 +25,17 @@
 	gaps = 4
 )
 
+// comeBack returns when a caller that an upstream rejected should come back. One
+// that belongs to an engine can be served by another at once. Other requests are
+// spread evenly, so that the other upstreams are about as full: their queues must
+// drain first, and callers come back a few times only.
+func comeBack(affine bool) time.Duration {
+	if affine {
+		return retrySoon
+	}
+	return retryLater
+}
+
 // freshness returns the longest idle time of a connection that may carry a
 // request of the route.
 func freshness(r *route.Route) time.Duration {
--- a/internal/router/forward/repeat_test.go
+++ b/internal/router/forward/repeat_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -37,3 +39,57 @@
 		}
 	}
 }
+
+// TestComeBack plays 5 upstreams with 6 places and queues of 24 that get 530
+// requests of 60 ms a second where they can do 500, and callers that come back
+// once. It guards against callers that come back while the queues are still
+// full; coming back after 50 ms, the naive version, loses more of them.
+func TestComeBack(t *testing.T) {
+	const upstreams, places, queue, workMS, perSecond, seconds = 5, 6, 24, 60, 530, 120
+	lost := func(wait time.Duration) (n int) {
+		random := rand.New(rand.NewPCG(1, 2))
+		var held [upstreams]int
+		var free [upstreams][places]int
+		ends, again := map[int][]int{}, map[int]int{}
+		for ms := range seconds * 1000 {
+			for _, u := range ends[ms] {
+				held[u]--
+			}
+			arrivals := again[ms]
+			second := arrivals
+			delete(ends, ms)
+			delete(again, ms)
+			// Traffic swings by a third over 4 s, so that queues fill and drain.
+			swing := 1 + math.Sin(2*math.Pi*float64(ms)/4000)/3
+			if random.Float64() < perSecond/1000.0*swing {
+				arrivals++
+			}
+			for i := range arrivals {
+				u := random.IntN(upstreams)
+				if held[u] >= places+queue {
+					if i < second {
+						n++
+					} else {
+						again[ms+int(wait.Milliseconds())]++
+					}
+					continue
+				}
+				held[u]++
+				place := &free[u][0]
+				for p := range free[u] {
+					if free[u][p] < *place {
+						place = &free[u][p]
+					}
+				}
+				*place = max(ms, *place) + workMS/2 + random.IntN(workMS)
+				ends[*place] = append(ends[*place], u)
+			}
+		}
+		return n
+	}
+	later, soon := lost(comeBack(false)), lost(retrySoon)
+	if later >= soon {
+		t.Errorf("%d requests are lost, %d by coming back soon", later, soon)
+	}
+	t.Logf("lost %d, naive %d", later, soon)
+}
