Reset the connections that the stand-in forwarder cuts

The router's log has the answer 6 ms after the pick, while the stand-in resets the connection 20 ms after these bytes, so the close came from the forwarder between them: a cut closed its connections in an orderly way, and a body without a length is complete then. Ruled out: a fault of the router, which cannot tell such a close from the end. Change: a cut resets. TestCutResets failed before (EOF). The program that serves is not changed.

--- a/internal/standin/forward/forward.go
+++ b/internal/standin/forward/forward.go
@@ -18,7 +18,7 @@
 
 // Faults are the faults in force; POST /faults changes the fields it names.
 type Faults struct {
-	Cut    bool `json:"cut"`    // once: closes the existing connections
+	Cut    bool `json:"cut"`    // once: resets the existing connections
 	Silent bool `json:"silent"` // once: existing connections lose all further bytes
 	Block  bool `json:"block"`  // closes new connections at once
 	OneWay bool `json:"oneway"` // connections lose what the target sends
@@ -83,7 +83,7 @@
 			f.stats.Silenced++
 		}
 		if faults.Cut {
-			p.close()
+			p.reset()
 		}
 	}
 	f.faults = Faults{Block: faults.Block, OneWay: faults.OneWay, DelayMS: faults.DelayMS}
--- /dev/null
+++ b/internal/standin/forward/forward_test.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestCutResets guards against a cut that ends connections in an orderly way: a
+// body that ends with its connection would look complete to the reader.
+func TestCutResets(t *testing.T) {
+	target, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	go func() {
+		for {
+			c, err := target.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Write([]byte("half"))
+		}
+	}()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := New(target.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx, listener) }()
+	defer func() { cancel(); <-ended }()
+	c, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, len("half"))); err != nil {
+		t.Fatal(err)
+	}
+	f.SetFaults(Faults{Cut: true})
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("a cut connection ends with %v, want a reset", err)
+	}
+}
