Bound what upstreams, the store, peers and callers may send

Cause: internal/upstream/http1 read a response header without any bound. A skipped body above 1 MB left the connection in the middle of the body, whose next bytes were parsed as a response.

Change: named bounds for headers (32 KB), skipped bodies, events, buffered bodies, rejections, the store's and peers' responses, lists and control requests; a caller's body is bounded by its deadline (408, which is true: not sent).

If all upstreams of a service are paused, requests are refused at once with the earliest end. An upstream that announces in any response that it will stop gets nothing new until its next incarnation registers. What allows a request is checked again when the connection is open (key, pause, registration, deadline).

A stalled attempt is cancelled only if the retry budget grants its replacement; comments are no progress of a stream; HTTP/1.0 callers see a broken response by a reset. One invalid entry in the store affects itself alone, is logged once a change and counted; an invalid configuration leaves the last valid one in force. A registration without a response keeps its lease, which is revoked at the end.

TestRecordBusy became TestRecordPause: it required that a pause of a minute ends after 1 s, which the users' rule on pauses forbids; it now requires the whole pause.

--- a/internal/caller/httpserver/conn.go
+++ b/internal/caller/httpserver/conn.go
@@ -33,6 +33,14 @@
 	return n, err
 }
 
+// SetLinger sets what happens to unsent data on close, as net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // markIdle records that the last request is complete.
 func (c *conn) markIdle() {
 	c.mu.Lock()
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -49,6 +49,11 @@
 	// housekeepingInterval is the time between two removals of state of departed
 	// upstreams.
 	housekeepingInterval = 500 * time.Millisecond
+	// maxControlBytes limits the header and the body of a request of a peer or of
+	// the platform. None of them carries any content.
+	maxControlBytes = 16 << 10
+	// controlReadTimeout limits the time to read such a request.
+	controlReadTimeout = time.Second
 	// summaryInterval is the time between two summary log lines.
 	summaryInterval = 10 * time.Second
 )
@@ -84,6 +89,8 @@
 
 	mu          sync.Mutex
 	failingUses map[string]bool
+	// lastErrors holds the text of the last logged error by subject.
+	lastErrors map[string]string
 }
 
 // New returns a router that is not running yet.
@@ -99,6 +106,7 @@
 		metrics:              admin.NewMetrics(),
 		counters:             new(expvar.Map).Init(),
 		failingUses:          map[string]bool{},
+		lastErrors:           map[string]string{},
 		startupGate:          forward.NewStartupGate(clock.Now()),
 		operatorStateTracker: newTopicTracker(gossip.OperatorState, time.Duration(maxAgeShare*float64(s.MaxConfigDelay())), 0),
 		upstreamsTracker:     newTopicTracker(gossip.Upstreams, time.Duration(maxAgeShare*float64(s.MaxDrainDelay())), time.Duration(settleShare*float64(s.MaxDrainDelay()))),
@@ -179,6 +187,7 @@
 	m.Set("requests", e.metrics)
 	m.Set("counters", e.counters)
 	m.Set("store_calls", expvar.Func(func() any { return e.store.CallCounts() }))
+	m.Set("invalid_entries", expvar.Func(func() any { return e.store.InvalidEntries() }))
 	m.Set("store_bytes", expvar.Func(func() any { return e.store.ReceivedBytes() }))
 	m.Set("upstream_connections", expvar.Func(func() any { return e.pools.Dials() }))
 	m.Set("routers", expvar.Func(func() any { return len(e.gossipState.LiveRouters(clock.Now())) }))
@@ -192,7 +201,10 @@
 // httpServerTask returns a function for the run group that serves h at address.
 func (e *Edge) httpServerTask(address string, h http.Handler) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
-		s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute}
+		s := &http.Server{
+			Addr: address, Handler: http.MaxBytesHandler(h, maxControlBytes), MaxHeaderBytes: maxControlBytes,
+			ReadTimeout: controlReadTimeout, IdleTimeout: time.Minute,
+		}
 		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 		defer stop()
 		if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -225,7 +237,7 @@
 func (e *Edge) logSummary(now clock.Instant) {
 	f := logrus.Fields{"routers": len(e.gossipState.LiveRouters(now)), "dials": e.pools.Dials()}
 	e.counters.Do(func(v expvar.KeyValue) { f[v.Key] = v.Value.String() })
-	f["store_bytes"] = e.store.ReceivedBytes()
+	f["store_bytes"], f["invalid_entries"] = e.store.ReceivedBytes(), e.store.InvalidEntries()
 	for path, n := range e.store.CallCounts() {
 		f["calls "+path] = n
 	}
@@ -241,6 +253,16 @@
 	}
 }
 
+// logOnce reports whether an error differs from the last one about the subject, so
+// that it should be logged.
+func (e *Edge) logOnce(subject string, err error) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.lastErrors[subject] == err.Error()
+	e.lastErrors[subject] = err.Error()
+	return !known
+}
+
 // logDependency logs when a use of the store starts to fail or to work again.
 // Cancelled calls and compacted history are only counted.
 func (e *Edge) logDependency(name string, err error) {
--- a/internal/host/edge/follow.go
+++ b/internal/host/edge/follow.go
@@ -91,6 +91,10 @@
 // and includes all changes up to revision; from is "store" or the address of a
 // peer.
 func (e *Edge) applyOperatorState(state OperatorState, asOf clock.Instant, revision uint64, from string) {
+	if state.InvalidConfig != nil && e.logOnce("config", state.InvalidConfig) {
+		e.counters.Add("configurations_invalid", 1)
+		e.log.WithError(state.InvalidConfig).WithFields(logrus.Fields{"revision": revision, "from": from}).Warn("configuration invalid, the last valid one stays in force")
+	}
 	if state.Table != nil && e.activeConfig.Apply(state.Table) {
 		e.log.WithFields(logrus.Fields{
 			"config": state.Table.Version(), "revision": revision, "read_ms": clock.Since(asOf).Milliseconds(), "from": from, "bytes": len(state.Document),
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -30,13 +30,21 @@
 	registerRetryDelay = time.Second
 )
 
+// registration is this router's entry in the list of routers.
+type registration struct {
+	// lease is the lease of the entry, 0 if there is none.
+	lease uint64
+	// confirmed is set once the store has confirmed the entry.
+	confirmed bool
+}
+
 // maintainRegistration keeps this router registered and lists its peers
 // periodically. It revokes the lease at the end.
 func (e *Edge) maintainRegistration(ctx context.Context) error {
-	var lease uint64
+	var r registration
 	for renewals := 0; ctx.Err() == nil; {
-		var err error
-		if lease, err = e.renewRegistration(ctx, lease); err == nil && renewals == 0 {
+		err := e.renewRegistration(ctx, &r)
+		if err == nil && renewals == 0 {
 			clock.Sleep(ctx, firstListingDelay)
 		}
 		if err == nil && renewals%renewalsPerListing == 0 {
@@ -52,9 +60,9 @@
 		}
 		clock.Sleep(ctx, renewInterval)
 	}
-	if lease != 0 {
+	if r.lease != 0 {
 		// ctx is done; the call has a timeout of its own.
-		if err := e.store.RevokeLease(context.WithoutCancel(ctx), lease); err != nil {
+		if err := e.store.RevokeLease(context.WithoutCancel(ctx), r.lease); err != nil {
 			e.log.WithError(err).Warn("lease not revoked; it will expire")
 		}
 	}
@@ -62,22 +70,29 @@
 }
 
 // renewRegistration renews the lease, or registers this router under a new one if
-// it has expired. It returns the current lease, or 0 if there is none.
-func (e *Edge) renewRegistration(ctx context.Context, lease uint64) (uint64, error) {
-	if lease != 0 {
-		err := e.store.RenewLease(ctx, lease)
+// it has expired. A registration without a response may have taken effect, so its
+// lease is kept for the next attempt and for the end.
+func (e *Edge) renewRegistration(ctx context.Context, r *registration) error {
+	if r.confirmed {
+		err := e.store.RenewLease(ctx, r.lease)
 		if !errors.Is(err, ErrNoLease) {
-			return lease, err
+			return err
 		}
+		*r = registration{}
 	}
-	next, err := e.store.GrantLease(ctx, leaseTTL)
-	if err != nil {
-		return 0, err
+	if r.lease == 0 {
+		lease, err := e.store.GrantLease(ctx, leaseTTL)
+		if err != nil {
+			return err
+		}
+		r.lease = lease
 	}
-	if err := e.store.RegisterRouter(ctx, next, e.settings.Name(), e.settings.PeersAddress()); err != nil {
-		return 0, err
+	err := e.store.RegisterRouter(ctx, r.lease, e.settings.Name(), e.settings.PeersAddress())
+	if errors.Is(err, ErrNoLease) {
+		*r = registration{}
 	}
-	return next, nil
+	r.confirmed = err == nil
+	return err
 }
 
 // listPeers updates the list of routers. The first listing must be fresh, since a
@@ -126,6 +141,7 @@
 		message, err := e.gossipState.Receive(now, from.String(), buffer[:n])
 		if err != nil {
 			e.counters.Add("digests_malformed", 1)
+			continue
 		}
 		e.applyMessage(now, from.String(), message)
 		if reply, ok := e.gossipState.Reply(now, message.ReplyTo()); ok {
--- a/internal/host/edge/relay.go
+++ b/internal/host/edge/relay.go
@@ -31,12 +31,18 @@
 	// maxDocumentBytes limits a decompressed document; values in the store have
 	// at most 1 MB.
 	maxDocumentBytes = 4 << 20
+	// maxResponseBytes limits a peer's response: the compressed document and some
+	// fields of a few bytes.
+	maxResponseBytes = maxCompressedBytes + 1<<10
 	// maxFetches limits the concurrent responses of a router, since its link also
 	// carries the traffic of callers. Further fetches wait until their callers
 	// time out.
 	maxFetches = 4
 )
 
+// errTooLong is returned for a response or a document above its limit.
+var errTooLong = errors.New("operator state exceeds the size limit")
+
 // errNotNewer is returned when a peer's operator state is no newer than the
 // active one.
 var errNotNewer = errors.New("operator state of the peer is no newer")
@@ -60,10 +66,39 @@
 		fetchSlots: make(chan struct{}, maxFetches),
 		// Fetches are rare, so a persistent connection would be idle most of the
 		// time.
-		client: &http.Client{Timeout: relayTimeout, Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: relayTimeout}).DialContext, DisableKeepAlives: true,
-		}},
+		client: &http.Client{Timeout: relayTimeout, Transport: limitedTransport{&http.Transport{
+			DialContext: (&net.Dialer{Timeout: relayTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxControlBytes,
+		}}},
+	}
+}
+
+// limitedTransport fails responses that are longer than maxResponseBytes. The
+// generated client reads whatever arrives.
+type limitedTransport struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.next.RoundTrip(r)
+	if err == nil {
+		res.Body = &limitedBody{res.Body, maxResponseBytes}
 	}
+	return res, err
+}
+
+// limitedBody is a body that fails after a number of bytes.
+type limitedBody struct {
+	io.ReadCloser
+	remaining int
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if b.remaining <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.remaining)])
+	b.remaining -= n
+	return n, err
 }
 
 // setDocument stores the encoded operator state that is active.
@@ -97,10 +132,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("decompress operator state: %w", err)
 	}
-	document, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
+	document, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("decompress operator state: %w", err)
 	}
+	if len(document) > maxDocumentBytes {
+		return nil, errTooLong
+	}
 	return document, nil
 }
 
--- a/internal/host/edge/store.go
+++ b/internal/host/edge/store.go
@@ -18,8 +18,11 @@
 
 // OperatorState is the configuration and the evacuations written by operators.
 type OperatorState struct {
-	// Table is the newest configuration, nil if there is none yet.
+	// Table is the newest configuration, nil if there is none yet or it is invalid.
 	Table *route.Table
+	// InvalidConfig states why the newest configuration is invalid, nil if it is
+	// not.
+	InvalidConfig error
 	// Evacuated is the set of evacuated failure domains.
 	Evacuated map[string]bool
 	// Document is the encoded form, which Store.DecodeOperatorState decodes.
@@ -57,6 +60,9 @@
 	RevokeLease(ctx context.Context, lease uint64) error
 	// CallCounts returns the number of calls so far by path.
 	CallCounts() map[string]int64
+	// InvalidEntries returns the number of entries so far that could not be decoded
+	// and were ignored.
+	InvalidEntries() int64
 	// ReceivedBytes returns the total size of all responses so far.
 	ReceivedBytes() int64
 }
--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -270,31 +270,35 @@
 	}
 }
 
-// TestRecordBusy guards against sending requests to an upstream that asked for a
-// pause while it still responds to earlier requests, and against a pause that
-// does not end.
-func TestRecordBusy(t *testing.T) {
+// TestRecordPause guards against sending requests to an upstream that asked for a
+// pause while it still responds to earlier requests, against a pause that is cut
+// short, also by a shorter one, and against one that does not end.
+func TestRecordPause(t *testing.T) {
 	h, peer := NewHealth(), NewHealth()
 	now := clock.Instant(time.Hour)
-	h.RecordBusy(now, "a", time.Minute)
+	h.RecordPause(now, "a", time.Minute)
+	h.RecordPause(now, "a", time.Second)
 	h.RecordSuccess(now, "a")
-	if !h.Suspect(now.Add(maxBusy-1), "a") {
-		t.Error("a busy upstream is not suspect")
+	if last := now.Add(time.Minute - 1); !h.Suspect(last, "a") || h.PauseLeft(last, "a") != 1 {
+		t.Error("a paused upstream is not suspect")
 	}
-	if h.Suspect(now.Add(maxBusy), "a") {
+	if end := now.Add(time.Minute); h.Suspect(end, "a") || h.PauseLeft(end, "a") != 0 {
 		t.Error("an upstream is suspect after its pause")
 	}
+	if h.PauseLeft(now, "b") != 0 {
+		t.Error("an unknown upstream is paused")
+	}
 	for _, s := range h.TakeOutcomes() {
 		peer.MergePeer(now, s)
 	}
 	if !peer.Suspect(now, "a") {
-		t.Error("the busy upstream is not reported to peers")
+		t.Error("the paused upstream is not reported to peers")
 	}
 	unreachable := NewHealth()
 	unreachable.RecordUnreachable(now, "a")
 	unreachable.RecordSuccess(now, "a")
 	if unreachable.Suspect(now, "a") {
-		t.Error("an unreachable upstream is suspect after a response, so this test does not tell busy from unreachable")
+		t.Error("an unreachable upstream is suspect after a response, so this test does not tell a pause from unreachable")
 	}
 }
 
--- a/internal/router/balance/health.go
+++ b/internal/router/balance/health.go
@@ -22,9 +22,6 @@
 	// failureThreshold is the failure rate above which an upstream is ejected
 	// although it accepts connections: about four failures in a row.
 	failureThreshold = 0.5
-	// maxBusy bounds the Retry-After of an upstream, during which it is
-	// avoided.
-	maxBusy = time.Second
 	// healthyThreshold is the failure rate below which successes are not
 	// reported to peers.
 	healthyThreshold = 0.02
@@ -51,8 +48,8 @@
 	failureRate  float64
 	ejections    int
 	ejectedUntil clock.Instant
-	// busyUntil is the end of the pause that the upstream asked for.
-	busyUntil clock.Instant
+	// pausedUntil is the end of the pause that the upstream asked for.
+	pausedUntil clock.Instant
 	// lastSuccess is when this router last received a response.
 	lastSuccess clock.Instant
 	unreported  Outcomes
@@ -91,14 +88,27 @@
 	return r.eject(now)
 }
 
-// RecordBusy records that an upstream rejected a request and asked for a pause.
-// Responses to other requests do not end the pause.
-func (h *Health) RecordBusy(now clock.Instant, id string, requested time.Duration) {
+// RecordPause records that an upstream rejected a request and wants no further
+// ones for a time. Neither responses to other requests nor a shorter pause end an
+// earlier one.
+func (h *Health) RecordPause(now clock.Instant, id string, pause time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.getOrCreate(xxhash.Sum64String(id))
 	r.unreported.Unreachable = incrementCapped(r.unreported.Unreachable)
-	r.busyUntil = now.Add(min(requested, maxBusy))
+	r.pausedUntil = max(r.pausedUntil, now.Add(pause))
+}
+
+// PauseLeft returns how long an upstream still wants no requests, 0 if it takes
+// them.
+func (h *Health) PauseLeft(now clock.Instant, id string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.upstreams[xxhash.Sum64String(id)]
+	if r == nil {
+		return 0
+	}
+	return max(0, r.pausedUntil.Sub(now))
 }
 
 // RecordFailure records a request that failed after the upstream accepted it.
@@ -154,7 +164,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.upstreams[xxhash.Sum64String(id)]
-	return r != nil && now < max(r.ejectedUntil, r.busyUntil)
+	return r != nil && now < max(r.ejectedUntil, r.pausedUntil)
 }
 
 // Retain drops all upstreams that are not in ids.
--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -101,16 +101,31 @@
 	// removed ones included, so that a delayed change cannot restore one.
 	lastRevisions map[string]uint64
 	evacuated     map[string]bool
+	// leaving holds the upstreams that announced in a response that they will stop.
+	// It is kept apart from the registrations, which routers compare with each
+	// other: a response reaches one router only.
+	leaving map[string]announcement
 	// storeReturnedAt is when the last outage of the store ended.
 	storeReturnedAt clock.Instant
 }
 
+// announcement identifies the incarnation of an upstream that will stop.
+type announcement struct {
+	incarnation int64
+	// heartbeat is the number of the last registration seen. A smaller one belongs
+	// to a new incarnation, if the registrations do not tell incarnations apart.
+	heartbeat uint64
+}
+
+// maxAnnouncements limits the announcements that are kept of removed upstreams.
+const maxAnnouncements = 1 << 12
+
 // maxRevisions limits the revisions kept for removed upstreams.
 const maxRevisions = 1 << 16
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{upstreams: map[string]*Upstream{}, evacuated: map[string]bool{}, lastRevisions: map[string]uint64{}}
+	d := &Directory{upstreams: map[string]*Upstream{}, evacuated: map[string]bool{}, leaving: map[string]announcement{}, lastRevisions: map[string]uint64{}}
 	d.rebuildIndex()
 	return d
 }
@@ -143,6 +158,51 @@
 	return changes
 }
 
+// MarkLeaving records that an upstream announced that it will stop, and reports
+// whether that is new. The upstream receives no new work from then on, whatever its
+// registration says, until another incarnation registers.
+func (d *Directory) MarkLeaving(u *Upstream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a, known := d.leaving[u.ID()]; known && a.incarnation == u.Incarnation() {
+		return false
+	}
+	if len(d.leaving) >= maxAnnouncements {
+		maps.DeleteFunc(d.leaving, func(id string, _ announcement) bool { return d.upstreams[id] == nil })
+	}
+	d.leaving[u.ID()] = announcement{u.Incarnation(), u.entry.Heartbeat}
+	d.rebuildIndex()
+	return true
+}
+
+// forgetAnnouncement drops the announcement of an earlier incarnation once a new
+// one registers.
+func (d *Directory) forgetAnnouncement(e Entry) {
+	a, known := d.leaving[e.ID]
+	if !known {
+		return
+	}
+	if e.Incarnation != a.incarnation || e.Heartbeat < a.heartbeat {
+		delete(d.leaving, e.ID)
+		return
+	}
+	d.leaving[e.ID] = announcement{a.incarnation, e.Heartbeat}
+}
+
+// Receives reports whether an upstream may still receive new work.
+func (d *Directory) Receives(u *Upstream) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	current := d.upstreams[u.ID()]
+	return current != nil && current.engine == u.engine && d.receives(current)
+}
+
+// receives reports whether an upstream of the directory takes new work.
+func (d *Directory) receives(u *Upstream) bool {
+	_, leaving := d.leaving[u.ID()]
+	return !leaving && !u.entry.Draining && !d.evacuated[u.entry.FailureDomain]
+}
+
 // Update is a change of one registration.
 type Update struct {
 	ID string
@@ -277,6 +337,7 @@
 		u.coldUntil = now.Add(e.ColdRemaining)
 	}
 	if old == nil {
+		d.forgetAnnouncement(e)
 		d.upstreams[e.ID] = u
 		return append(changes, Change{e.ID, "new", e})
 	}
@@ -292,6 +353,7 @@
 	if sameIncarnation && e.Heartbeat == old.entry.Heartbeat {
 		u.coldUntil = old.coldUntil
 	}
+	d.forgetAnnouncement(e)
 	d.upstreams[e.ID] = u
 	switch {
 	case !sameIncarnation:
@@ -361,7 +423,7 @@
 		hash += u.stateHash()
 		byEngine[u.Engine()] = u
 		byService[u.entry.Service] = append(byService[u.entry.Service], u)
-		if u.entry.Draining || d.evacuated[u.entry.FailureDomain] {
+		if !d.receives(u) {
 			continue
 		}
 		receiving[u.entry.Service] = append(receiving[u.entry.Service], u)
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/caller/httpapi"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
@@ -33,10 +35,10 @@
 	if !j.authorize() {
 		return false
 	}
+	j.setDeadline()
 	if !j.readBody() {
 		return false
 	}
-	j.setDeadline()
 	if timeLeft, stopping := j.ShutdownTimeLeft(); stopping && j.remaining() > timeLeft {
 		// The request could be cut off by the shutdown; another router can
 		// serve it.
@@ -65,18 +67,33 @@
 	return true
 }
 
+// maxBodyBytes limits the body of a request if the configuration does not, to
+// protect the host's memory.
+const maxBodyBytes = 8 << 20
+
 // readBody reads the whole body, since it may be sent more than once. It
 // returns false after an error response.
 func (j *job) readBody() bool {
 	limit := int64(j.config.Limits().BodyBytes)
-	body := j.request.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(j.writer, body, limit)
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	controller := http.NewResponseController(j.writer)
+	// A caller that sends its body too slowly must not hold the connection forever.
+	err := controller.SetReadDeadline(time.Now().Add(j.remaining()))
+	if err == nil {
+		j.body, err = io.ReadAll(http.MaxBytesReader(j.writer, j.request.Body, limit))
+	}
+	if err == nil {
+		// After an error the deadline stays, since the server reads on after the
+		// response.
+		err = controller.SetReadDeadline(time.Time{})
 	}
-	var err error
-	j.body, err = io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		j.writer.Header().Set("Connection", "close")
+		j.respondError(http.StatusRequestTimeout, "body not received in time")
 	case errors.As(err, &tooLarge):
 		j.respondError(http.StatusRequestEntityTooLarge, "body too large")
 	case err != nil:
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
@@ -21,7 +23,24 @@
 // maxBufferedResponse is how much of a response is read before it is relayed,
 // in bytes. A longer response is relayed as it arrives, so it cannot be
 // replaced by another attempt any more.
-const maxBufferedResponse = 1 << 20
+const maxBufferedResponse = 256 << 10
+
+const (
+	// maxRejectionBody and rejectionBodyTimeout limit what is read of the body of a
+	// rejection, so that its connection can be reused. A connection with a longer or
+	// slower body is closed.
+	maxRejectionBody     = 16 << 10
+	rejectionBodyTimeout = 100 * time.Millisecond
+	// unusualPause is the pause above which a request for it is logged as a
+	// warning.
+	unusualPause = time.Minute
+)
+
+var (
+	errNotReceiving = errors.New("the upstream takes no new work any more")
+	errPaused       = errors.New("the upstream asked for a pause")
+	errUnconfirmed  = errors.New("configuration not confirmed")
+)
 
 // relayBufferSize is the buffer size for relaying a long response, in bytes.
 const relayBufferSize = 32 << 10
@@ -45,16 +64,20 @@
 	}
 	j.tried[u.ID()] = true
 	j.upstream = u.ID()
-	if j.config.NeedsKey(j.route) && !j.ActiveConfig.Fresh(clock.Now()) {
-		return verdict.Errorf(verdict.NotRun, "configuration not confirmed")
+	if !j.keyAccepted(clock.Now()) {
+		return verdict.New(verdict.NotRun, errUnconfirmed)
 	}
 	j.Gossip.StartRequest(u.ID())
 	defer j.Gossip.EndRequest(u.ID())
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
-	j.stallTimer = time.AfterFunc(j.stallTimeout(), func() { cancel(errUpstreamStalled) })
-	defer j.stallTimer.Stop()
+	j.stall = newStallGuard(j.reserveRetry, func() { cancel(errUpstreamStalled) })
+	j.stall.arm(j.stallTimeout())
+	defer j.stall.pause()
 	res, err := j.Pools.Get(u.ID(), u.Incarnation(), u.Address()).Do(ctx, j.buildRequest(u))
+	if errors.Is(err, http1.ErrNotSent) {
+		return err
+	}
 	if err != nil {
 		if verdict.FromError(err) != verdict.NotRun {
 			j.attemptsSent++
@@ -66,16 +89,46 @@
 	return j.handleResponse(u, res)
 }
 
+// keyAccepted reports whether the route needs no API key, or the configuration is
+// recent enough to accept one.
+func (j *job) keyAccepted(now clock.Instant) bool {
+	return !j.config.NeedsKey(j.route) || j.ActiveConfig.Fresh(now)
+}
+
+// checkSend returns why a request must not be sent to an upstream any more. What
+// allowed it when the upstream was picked may have ended while the connection was
+// opened or the process was paused.
+func (j *job) checkSend(now clock.Instant, u *directory.Upstream) error {
+	switch {
+	case j.deadline.Sub(now) < minRemaining:
+		return errDeadlineExceeded
+	case !j.keyAccepted(now):
+		return errUnconfirmed
+	case j.Health.PauseLeft(now, u.ID()) > 0:
+		return errPaused
+	case !j.Directory.Receives(u):
+		return errNotReceiving
+	}
+	return nil
+}
+
 // buildRequest returns the request that is sent to the upstream.
 func (j *job) buildRequest(u *directory.Upstream) http1.Request {
-	attempt := Attempt{Upstream: u, Remaining: j.remaining(), Priority: j.workspace.Priority(j.route), ResumeAfter: j.lastEvent}
+	attempt := Attempt{Upstream: u, Priority: j.workspace.Priority(j.route), ResumeAfter: j.lastEvent}
 	if j.workspace != nil {
 		attempt.Workspace = j.workspace.Name()
 	}
 	attempt.CopyFrom = j.copySource(u)
 	return http1.Request{
-		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
-		Header: j.Protocol.RequestHeader(j.info, attempt), Body: j.body, Matches: j.belongsToRequest,
+		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Body: j.body, Matches: j.belongsToRequest,
+		BeforeSend: func() (http.Header, error) {
+			now := clock.Now()
+			if err := j.checkSend(now, u); err != nil {
+				return nil, err
+			}
+			attempt.Remaining = j.deadline.Sub(now)
+			return j.Protocol.RequestHeader(j.info, attempt), nil
+		},
 		MaxConns: budget.MaxConnections(j.service.MaxConns(), len(j.Gossip.LiveRouters(clock.Now()))), MaxIdleAge: maxConnectionIdle(j.route),
 	}
 }
@@ -113,14 +166,12 @@
 			j.ReportOverload(u.IDHash())
 		}
 	}
+	j.recordAnnouncements(u, res.Status(), info)
 	if info.OtherIncarnation || info.NotRun {
 		if info.OtherIncarnation {
 			j.Health.RecordUnreachable(clock.Now(), u.ID())
-		} else if info.RetryAfter > 0 {
-			j.Health.RecordBusy(clock.Now(), u.ID(), info.RetryAfter)
 		}
-		// The connection can be reused only if the body is read.
-		_, _ = io.Copy(io.Discard, io.LimitReader(res, maxBufferedResponse))
+		j.drainRejection(res)
 		rejected := verdict.Errorf(verdict.NotRun, "upstream %s rejected the request with status %d", u.ID(), res.Status())
 		return rejected.WithRetryAfter(rejectionRetryAfter(j.affine()))
 	}
@@ -134,6 +185,36 @@
 	return j.bufferResponse(u, res)
 }
 
+// recordAnnouncements records what an upstream states about itself in any
+// response: that it will stop, and that it wants no requests for a time.
+func (j *job) recordAnnouncements(u *directory.Upstream, status int, info ResponseInfo) {
+	if info.Leaving && j.Directory.MarkLeaving(u) {
+		j.log().WithField("upstream", u.ID()).Info("upstream announced that it will stop")
+	}
+	if info.PauseErr != nil {
+		j.log().WithError(info.PauseErr).WithField("upstream", u.ID()).Warn("ignoring invalid pause of an upstream")
+	}
+	if info.Pause <= 0 {
+		return
+	}
+	j.Health.RecordPause(clock.Now(), u.ID(), info.Pause)
+	entry := j.log().WithFields(logrus.Fields{"upstream": u.ID(), "status": status, "pause_ms": info.Pause.Milliseconds()})
+	if info.Pause > unusualPause {
+		entry.Warn("upstream asked for a long pause")
+		return
+	}
+	entry.Info("upstream asked for a pause")
+}
+
+// drainRejection reads the rest of a rejection, so that its connection can be
+// reused.
+func (j *job) drainRejection(res *http1.Response) {
+	t := time.AfterFunc(rejectionBodyTimeout, res.Abort)
+	defer t.Stop()
+	// If the body is not read to its end, Close closes the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(res, maxRejectionBody))
+}
+
 // bufferResponse reads a response up to maxBufferedResponse and relays it.
 func (j *job) bufferResponse(u *directory.Upstream, res *http1.Response) error {
 	body, err := io.ReadAll(io.LimitReader(res, maxBufferedResponse))
@@ -176,11 +257,11 @@
 	buffer := make([]byte, relayBufferSize)
 	for {
 		// Exclude the time of a slow caller from the stall timeout.
-		j.stallTimer.Stop()
+		j.stall.pause()
 		if _, err := j.writer.Write(chunk); err != nil {
 			return verdict.Errorf(verdict.Ran, "%w: %w", errCallerLeft, err)
 		}
-		j.stallTimer.Reset(j.stallTimeout())
+		j.stall.arm(j.stallTimeout())
 		n, err := res.Read(buffer)
 		chunk = buffer[:n]
 		if errors.Is(err, io.EOF) && n == 0 {
@@ -227,8 +308,10 @@
 			j.recordCached(u)
 		}
 		j.writeStreamHeader(res)
-		// Exclude the time of a slow caller from the stall timeout.
-		j.stallTimer.Stop()
+		if !e.IsComment() {
+			// Exclude the time of a slow caller from the stall timeout.
+			j.stall.pause()
+		}
 		if e.ID() != "" {
 			j.lastEvent = e.ID()
 		}
@@ -238,7 +321,9 @@
 		if err := flusher.Flush(); err != nil {
 			return verdict.Errorf(verdict.Ran, "%w: %w", errCallerLeft, err)
 		}
-		j.stallTimer.Reset(j.stallTimeout())
+		if !e.IsComment() {
+			j.stall.arm(j.stallTimeout())
+		}
 	}
 }
 
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -59,9 +59,13 @@
 	Signed bool
 	// NotRun reports whether the upstream states that it did not run the request.
 	NotRun bool
-	// RetryAfter is the pause that the upstream asks for, 0 if it asks for
-	// none.
-	RetryAfter time.Duration
+	// Pause is how long the upstream wants no requests from this router, 0 if it
+	// asks for no pause.
+	Pause time.Duration
+	// PauseErr reports a pause that could not be decoded.
+	PauseErr error
+	// Leaving reports whether the upstream states that it will stop.
+	Leaving bool
 	// Load is the number of requests in progress or queued at the upstream, 0
 	// if it is not stated.
 	Load int
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -73,10 +73,9 @@
 	// loadBound is the highest load that the last pick allowed, 0 if no bound
 	// applied.
 	loadBound int
-	// stallTimer cancels the attempt if the upstream sends nothing for too
-	// long.
-	stallTimer *time.Timer
-	lastEvent  string
+	// stall cancels the current attempt if the upstream makes no progress.
+	stall     *stallGuard
+	lastEvent string
 
 	upstream        string
 	status          int
@@ -119,7 +118,7 @@
 		reason = "no event to resume after"
 	case j.attemptsSent >= j.route.MaxAttempts() || len(j.tried) > j.route.MaxAttempts()+maxUnreached:
 		reason = "attempts used"
-	case j.attemptsSent > 0 && !j.RetryBudget.AllowRetry(clock.Now(), j.serviceName, len(j.Gossip.LiveRouters(clock.Now()))):
+	case j.attemptsSent > 0 && !j.stall.replaced() && !j.allowRetry():
 		reason = "retry budget used"
 	}
 	j.log().WithFields(logrus.Fields{
@@ -128,6 +127,25 @@
 	return reason == ""
 }
 
+// allowRetry reports whether the retry budget allows another attempt, and counts
+// the attempt if so.
+func (j *job) allowRetry() bool {
+	now := clock.Now()
+	return j.RetryBudget.AllowRetry(now, j.serviceName, len(j.Gossip.LiveRouters(now)))
+}
+
+// reserveRetry reports whether another attempt can replace the current one, and
+// counts it against the retry budget if so.
+func (j *job) reserveRetry() bool {
+	now := clock.Now()
+	for _, u := range j.Directory.Receiving(j.serviceName) {
+		if j.Health.PauseLeft(now, u.ID()) == 0 {
+			return j.allowRetry()
+		}
+	}
+	return false
+}
+
 // maxUnreached bounds the attempts of a request that did not reach an upstream.
 const maxUnreached = 3
 
@@ -140,9 +158,7 @@
 		j.status = statusClientClosed
 		panic(http.ErrAbortHandler)
 	case j.responseStarted:
-		// Abort the connection, so that the caller sees that the response is
-		// incomplete.
-		panic(http.ErrAbortHandler)
+		j.abortResponse()
 	case j.fallback != nil:
 		j.writeResponse(j.fallback)
 	case !j.mayHaveRun:
@@ -154,6 +170,23 @@
 	}
 }
 
+// abortResponse closes the caller's connection, so that the caller sees that the
+// response is incomplete. The end of the connection is the end of a complete
+// response for a caller with HTTP/1.0, to whom only a reset shows the difference.
+func (j *job) abortResponse() {
+	if !j.request.ProtoAtLeast(1, 1) {
+		if c, _, err := http.NewResponseController(j.writer).Hijack(); err == nil {
+			if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+				// An error means that the connection is closed already.
+				_ = l.SetLinger(0)
+			}
+			_ = c.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func retryAfter(err error) time.Duration {
 	var v *verdict.Error
 	if errors.As(err, &v) && v.RetryAfter() > 0 {
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
@@ -29,7 +31,25 @@
 			break
 		}
 	}
-	return nil, verdict.New(verdict.NotRun, errNoUpstream)
+	noUpstream := verdict.New(verdict.NotRun, errNoUpstream)
+	if pause := j.pauseOfAll(all); pause > 0 {
+		return nil, noUpstream.WithRetryAfter(pause)
+	}
+	return nil, noUpstream
+}
+
+// pauseOfAll returns the time until the first of the upstreams takes requests
+// again, 0 if one of them has not asked for a pause.
+func (j *job) pauseOfAll(upstreams []*directory.Upstream) time.Duration {
+	now := clock.Now()
+	var shortest time.Duration
+	for i, u := range upstreams {
+		left := j.Health.PauseLeft(now, u.ID())
+		if i == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
 }
 
 // shortlist returns the first upstreams in rendezvous order for the request's
@@ -118,9 +138,10 @@
 	loads, ownLoads := j.Gossip.Loads(now, upstreamKeys(upstreams))
 	list := make([]balance.Candidate, len(upstreams))
 	for i, u := range upstreams {
+		paused := j.Health.PauseLeft(now, u.ID()) > 0
 		list[i] = balance.Candidate{
 			ID: u.ID(), Load: loads[i], OwnLoad: ownLoads[i], Slots: u.Slots(), SameDomain: u.FailureDomain() == j.FailureDomain,
-			Suspect: j.Health.Suspect(now, u.ID()), Excluded: j.tried[u.ID()],
+			Suspect: j.Health.Suspect(now, u.ID()), Excluded: paused || j.tried[u.ID()], Forbidden: paused,
 		}
 	}
 	j.excludeRegions(list, upstreams)
--- a/internal/router/forward/repeat.go
+++ b/internal/router/forward/repeat.go
@@ -49,10 +49,10 @@
 // stallTimeout returns how long an upstream may send nothing, given the time
 // remaining for the request and the number of attempts sent so far. The last
 // attempt gets all the remaining time, and so does a request that must not be
-// retried, since giving up early helps nobody.
+// retried or whose response was sent in part, since giving up early helps nobody.
 func stallTimeout(r *route.Route, remaining time.Duration, sent int, started bool) time.Duration {
 	switch {
-	case !r.Retryable() || sent >= r.MaxAttempts():
+	case !r.Retryable() || sent >= r.MaxAttempts() || started && !r.Resumable():
 		return remaining
 	case started && r.EventGap() > 0:
 		return min(remaining, eventGapFactor*r.EventGap())
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -27,12 +28,20 @@
 	keepAliveInterval = time.Second
 	// readBufferBytes fits the header and the body of a typical response.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds what is read of one response until its header is complete.
+	// net/http bounds only the headers of requests.
+	maxHeadBytes = 32 << 10
 )
 
+// errHeadTooLong means that a response's header exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("header of the response exceeds the size limit")
+
 // conn is one connection to an upstream. It is used by one request at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head bounds the header that is being read.
+	head *headLimit
 	// idleSince is when the last response was complete, 0 on a new connection.
 	idleSince clock.Instant
 	// idleTimeout is how long the connection may stay idle before the upstream
@@ -53,7 +62,39 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	head := &headLimit{reader: c}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
+}
+
+// headLimit passes on what it reads and fails once a header is too long.
+type headLimit struct {
+	reader io.Reader
+	// active is set while a header is read, and remaining is how many bytes of it
+	// may still be read. Bytes of a body that arrive with the header count too.
+	active    bool
+	remaining int
+}
+
+// start bounds the bytes until stop.
+func (h *headLimit) start() { h.active, h.remaining = true, maxHeadBytes }
+
+func (h *headLimit) stop() { h.active = false }
+
+// Read implements io.Reader.
+func (h *headLimit) Read(b []byte) (int, error) {
+	if !h.active {
+		return h.reader.Read(b)
+	}
+	if h.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.reader.Read(b[:min(len(b), h.remaining)])
+	h.remaining -= n
+	return n, err
 }
 
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/upstream/http1/event.go
+++ b/internal/upstream/http1/event.go
@@ -9,7 +9,7 @@
 )
 
 // maxEventBytes bounds the size of one server-sent event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // errEventTooLong means that an event exceeds maxEventBytes.
 var errEventTooLong = errors.New("event exceeds the size limit")
@@ -21,6 +21,8 @@
 type Event struct {
 	raw []byte
 	id  string
+	// hasFields is set if the event has any line other than comments.
+	hasFields bool
 }
 
 // Raw returns the bytes of the event including its final blank line, valid until
@@ -30,6 +32,10 @@
 // ID returns the id field, empty if the event has none.
 func (e Event) ID() string { return e.id }
 
+// IsComment reports whether the event has no field. Upstreams send such events to
+// keep a connection open; they are no progress of the stream.
+func (e Event) IsComment() bool { return !e.hasFields }
+
 // EventReader splits a stream into events and leaves their bytes unchanged.
 type EventReader struct {
 	reader *bufio.Reader
@@ -45,7 +51,7 @@
 // that ends within an event fails with io.ErrUnexpectedEOF.
 func (r *EventReader) Next() (Event, error) {
 	r.buffer = r.buffer[:0]
-	id := ""
+	id, hasFields := "", false
 	for {
 		start := len(r.buffer)
 		for {
@@ -57,15 +63,19 @@
 			if errors.Is(err, bufio.ErrBufferFull) && len(r.buffer) < maxEventBytes {
 				continue
 			}
-			if errors.Is(err, io.EOF) && len(r.buffer) > 0 {
+			switch {
+			case errors.Is(err, bufio.ErrBufferFull):
+				err = errEventTooLong
+			case errors.Is(err, io.EOF) && len(r.buffer) > 0:
 				err = errTruncatedEvent
 			}
 			return Event{}, err
 		}
 		line := bytes.TrimRight(r.buffer[start:], "\r\n")
 		if len(line) == 0 {
-			return Event{raw: r.buffer, id: id}, nil
+			return Event{raw: r.buffer, id: id, hasFields: hasFields}, nil
 		}
+		hasFields = hasFields || line[0] != ':'
 		if name, value, ok := bytes.Cut(line, []byte(":")); ok && string(name) == "id" {
 			id = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -25,12 +25,15 @@
 	// is read; it fits in the socket buffer.
 	inlineBodyBytes = 16 << 10
 	// maxUnmatchedBodyBytes bounds the body of a skipped response.
-	maxUnmatchedBodyBytes = 1 << 20
+	maxUnmatchedBodyBytes = 64 << 10
 )
 
 // errUnmatched means that no response on the connection matched the request.
 var errUnmatched = errors.New("the responses on the connection belong to other requests")
 
+// ErrNotSent means that BeforeSend kept a request from being sent.
+var ErrNotSent = errors.New("request not sent")
+
 // Request is one attempt of a request at an upstream.
 type Request struct {
 	Method string
@@ -39,6 +42,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BeforeSend, if set, is called once the connection is open, right before the
+	// request is written. It returns the header to send in place of Header, or an
+	// error to keep the request from being sent.
+	BeforeSend func() (http.Header, error)
 	// Matches reports whether a response with this header belongs to the request.
 	Matches func(status int, h http.Header) bool
 	// MaxConns bounds this router's connections to the upstream, 0 for no bound.
@@ -80,6 +87,9 @@
 	return n, err
 }
 
+// Abort makes reads of the body fail, also those in progress.
+func (r *Response) Abort() { _ = r.conn.SetDeadline(time.Unix(1, 0)) }
+
 // Close returns the connection to the pool if the response was read completely.
 // Otherwise it closes the connection, which cancels the request at the upstream.
 func (r *Response) Close() {
@@ -111,6 +121,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if q.BeforeSend != nil {
+		// Time has passed since the caller decided to send: for the dial, or because
+		// the process was paused.
+		if q.Header, err = q.BeforeSend(); err != nil {
+			p.discard(c)
+			return nil, verdict.Errorf(verdict.NotRun, "%w: %w", ErrNotSent, err)
+		}
+	}
 	past := time.Unix(1, 0)
 	// Unblocks reads and writes when the request is cancelled.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
@@ -152,7 +170,9 @@
 		}()
 	}
 	for range maxUnmatched {
+		c.head.start()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		c.head.stop()
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
@@ -166,7 +186,9 @@
 				conn: c, keepAlive: !resp.Close && c.idleTimeout > 0, writeErr: writeErr,
 			}, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBodyBytes)); err != nil || resp.Close {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBodyBytes))
+		if err != nil || resp.Close || n == maxUnmatchedBodyBytes {
+			// The rest of a longer body must not be parsed as the next response.
 			return nil, errors.Join(errUnmatched, err)
 		}
 	}
--- a/internal/upstream/httpresponse/httpresponse.go
+++ b/internal/upstream/httpresponse/httpresponse.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +13,10 @@
 // dates are ignored.
 const maxRetryAfter = time.Hour
 
+// maxPause bounds the pause that an upstream can ask for. An upstream that wants
+// no requests for longer leaves the service or restarts.
+const maxPause = 24 * time.Hour
+
 // refusalStatuses are the statuses with which an upstream may report that it did
 // not run a request.
 var refusalStatuses = map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
@@ -35,3 +40,19 @@
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
+
+// Pause returns for how long an upstream wants no requests, according to the
+// seconds of its Retry-After field, 0 if the field is missing. Unlike RetryAfter,
+// which advises callers, it keeps a value of any length up to a day. The error
+// reports a value that is not a positive number of seconds.
+func Pause(h http.Header) (time.Duration, error) {
+	value := h.Get("Retry-After")
+	if value == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds >= 0) {
+		return 0, fmt.Errorf("Retry-After %.40q is not a number of seconds", value)
+	}
+	return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second)), nil
+}
