Play the table of bytes without end against the remaining readers

Cause: the readers of hemlockd and the fetch from peers had bounds that no test showed. The table found two: a watch buffered 66 MB of one message, and a list of the store up to 64 MB.

--- a/internal/caller/chat/chat_test.go
+++ b/internal/caller/chat/chat_test.go
@@ -472,10 +472,13 @@
 		}
 	}()
 	deps, server := startServer(t, nil)
-	deps.engines = append(deps.engines, &httptest.Server{Listener: l})
+	deps.engines = append(deps.engines, &httptest.Server{URL: "http://" + l.Addr().String()})
 	for i := range 20 {
 		content := fmt.Sprint("question-", i)
 		_, text := postCompletion(t, server, strings.ReplaceAll(unclosedRequest, "hello", content)+"}")
+		if i == 0 && !strings.Contains(text, content+" ") {
+			t.Fatalf("the first request got %s", text)
+		}
 		if strings.Contains(text, "question-") && !strings.Contains(text, content+" ") {
 			t.Errorf("request %d got the response to another one: %s", i, text)
 		}
@@ -497,7 +500,13 @@
 		if err != nil {
 			return
 		}
-		question, _, _ := strings.Cut(string(body[strings.Index(string(body), "question-"):]), `"`)
+		_, rest, found := strings.Cut(string(body), "question-")
+		if !found { // a cancel call
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		number, _, _ := strings.Cut(rest, `"`)
+		question := "question-" + number
 		attempt := r.Header.Get("Request-Attempt")
 		events := fmt.Sprintf("id: %s:1\ndata: %s\n\nid: %s:2\ndata: [DONE]\n\n", attempt, tokenChunk(question+" answered"), attempt)
 		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(events), events)
--- a/internal/host/edge/relay_test.go
+++ b/internal/host/edge/relay_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/rpc"
+	"github.com/hemlockcroft/hemlockcroft/internal/standin/flood"
 )
 
 // TestRelayedDocument guards against documents that are altered in transit, that
@@ -40,6 +42,45 @@
 	}
 }
 
+// TestPeerFlood guards against a peer whose bytes without end take the memory of the
+// host or keep a fetch beyond its timeout, and against a document that is cut
+// without an error because it is too long.
+func TestPeerFlood(t *testing.T) {
+	// maxFloodBytes is a quarter of the smallest hosts, which have 184 MB.
+	const maxFloodBytes = 46 << 20
+	server, err := flood.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	cases, err := flood.Cases()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newOperatorStateRelay(newTopicTracker(gossip.OperatorState, 0, 0))
+	for _, c := range cases {
+		server.SetCase(c)
+		begin := time.Now()
+		peak := flood.PeakHeap(func() {
+			if _, _, err := r.fetchFrom(context.Background(), server.Address()); err == nil {
+				t.Errorf("%s: a response without end was read", c.Name())
+			}
+		})
+		if elapsed := time.Since(begin); peak > maxFloodBytes || elapsed > relayTimeout+time.Second {
+			t.Errorf("%s: %d MB in %v", c.Name(), peak>>20, elapsed)
+		}
+	}
+	long := newOperatorStateRelay(newTopicTracker(gossip.OperatorState, 0, 0))
+	long.setDocument(make([]byte, maxDocumentBytes+1), 1)
+	compressed, _, err := long.compressedDocument()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if document, err := decompress(compressed); err == nil {
+		t.Errorf("%d of %d bytes were taken for the whole document", len(document), maxDocumentBytes+1)
+	}
+}
+
 // TestFetchLimit guards against a router that sends many documents at once over
 // its link: further fetches wait, and end without a response when the peer
 // cancels them.
--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -46,7 +46,7 @@
 	idleConnTimeout = 30 * time.Second
 	maxIdleConns    = 4
 	// maxResponseBytes limits a response; a list of 12,000 claims takes about 4 MB.
-	maxResponseBytes = 16 << 20
+	maxResponseBytes = 8 << 20
 	// maxHeaderBytes limits the header of a response.
 	maxHeaderBytes = 16 << 10
 )
--- a/internal/platform/etcd/watch.go
+++ b/internal/platform/etcd/watch.go
@@ -98,7 +98,7 @@
 
 // maxWatchMessageBytes limits one message of a watch. The service limits a value to
 // 1.5 MB.
-const maxWatchMessageBytes = 8 << 20
+const maxWatchMessageBytes = 4 << 20
 
 // errMessageTooLong means that a message exceeds maxWatchMessageBytes.
 var errMessageTooLong = errors.New("message of the watch exceeds the size limit")
