Probe failing upstreams with replaceable requests only; fewer calls in outages

Change: an upstream that was ejected for failing what it accepted is used for 10 s more only by requests that another attempt can replace, until it succeeds. Routers that are no watchers wait 22 ms times the fleet's size from the first failure of the store on; peers end the wait. The first list of routers may be stale unless it names no other. The last call of a process is limited to 300 ms, less than the margin before it is killed (one process was still there at the end of its grace time).

--- a/internal/host/edge/follow.go
+++ b/internal/host/edge/follow.go
@@ -31,10 +31,10 @@
 	updateFanout = 8
 	// upstreamsBatchDelay collects the heartbeats of many upstreams in one call.
 	upstreamsBatchDelay = 400 * time.Millisecond
-	// initialRetryDelay is the delay after a failed call to the store. It doubles
-	// up to a maximum: maxWatcherRetryDelay for watchers, and retryDelayPerRouter
-	// times the number of live routers for the others, so that the call rate of a
-	// large fleet does not grow with its size.
+	// initialRetryDelay is a watcher's delay after a failed call to the store. It
+	// doubles up to maxWatcherRetryDelay. The others wait retryDelayPerRouter times
+	// the number of live routers, so that the call rate of a large fleet does not
+	// grow with its size.
 	initialRetryDelay    = 150 * time.Millisecond
 	maxWatcherRetryDelay = 300 * time.Millisecond
 	retryDelayPerRouter  = 22 * time.Millisecond
@@ -253,11 +253,11 @@
 }
 
 // retryDelay returns the time until the next call after a number of consecutive
-// failures.
+// failures. Watchers call the store until it is back, and the others learn of it
+// from them, so these wait the whole time from the first failure on.
 func retryDelay(failures int64, watcher bool, routers int) time.Duration {
-	maxDelay := maxWatcherRetryDelay
 	if !watcher {
-		maxDelay = max(maxDelay, time.Duration(routers)*retryDelayPerRouter)
+		return max(maxWatcherRetryDelay, time.Duration(routers)*retryDelayPerRouter)
 	}
-	return min(initialRetryDelay<<min(failures-1, 8), maxDelay)
+	return min(initialRetryDelay<<min(failures-1, 8), maxWatcherRetryDelay)
 }
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -26,6 +26,9 @@
 	// firstListingDelay is the time from the registration of a router to its
 	// first listing of the others. The routers of a fleet start within 0.3 s.
 	firstListingDelay = 500 * time.Millisecond
+	// revokeTimeout limits the last call of a process. It is shorter than exitMargin,
+	// so that a silent store does not keep the process until it is killed.
+	revokeTimeout = 300 * time.Millisecond
 	// registerRetryDelay is the delay after a failed registration.
 	registerRetryDelay = time.Second
 )
@@ -61,8 +64,10 @@
 		clock.Sleep(ctx, renewInterval)
 	}
 	if r.lease != 0 {
-		// ctx is done; the call has a timeout of its own.
-		if err := e.store.RevokeLease(context.WithoutCancel(ctx), r.lease); err != nil {
+		// ctx is done.
+		revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
+		defer cancel()
+		if err := e.store.RevokeLease(revokeCtx, r.lease); err != nil {
 			e.log.WithError(err).Warn("lease not revoked; it will expire")
 		}
 	}
@@ -95,11 +100,15 @@
 	return err
 }
 
-// listPeers updates the list of routers. The first listing must be fresh, since a
-// router without known peers reads the store itself.
+// listPeers updates the list of routers. If the first list has no other router, it
+// may be older than the fleet, so a fresh one is read: a router without known peers
+// reads the store itself.
 func (e *Edge) listPeers(ctx context.Context) error {
 	first := !e.peersListed.Load()
-	routers, err := e.store.ListRouters(ctx, first)
+	routers, err := e.store.ListRouters(ctx, false)
+	if err == nil && first && !e.listsOthers(routers) {
+		routers, err = e.store.ListRouters(ctx, true)
+	}
 	if err != nil {
 		return err
 	}
@@ -110,6 +119,16 @@
 	return nil
 }
 
+// listsOthers reports whether a list has a router other than this one.
+func (e *Edge) listsOthers(routers map[string]string) bool {
+	for name := range routers {
+		if name != e.settings.Name() {
+			return true
+		}
+	}
+	return false
+}
+
 // receiveDatagrams receives and applies datagrams of peers and replies to
 // queries.
 func (e *Edge) receiveDatagrams(ctx context.Context) error {
--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -270,6 +270,93 @@
 	}
 }
 
+// TestRisky guards against requests that nothing can replace being sent to an
+// upstream that fails what it accepts, against avoiding one for long that only
+// could not be reached or that succeeds again, and against never using one again.
+func TestRisky(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	failing, unreachable := NewHealth(), NewHealth()
+	for range 20 {
+		failing.RecordFailure(now, "a")
+	}
+	unreachable.RecordUnreachable(now, "a")
+	afterEjection := now.Add(maxEjection)
+	if failing.Suspect(afterEjection, "a") || !failing.Risky(afterEjection, "a") {
+		t.Error("an upstream on probation is not only risky")
+	}
+	if unreachable.Risky(afterEjection, "a") || failing.Risky(afterEjection, "b") {
+		t.Error("an upstream that was unreachable, or is unknown, is risky")
+	}
+	if failing.Risky(now.Add(maxEjection+probation), "a") {
+		t.Error("the probation does not end")
+	}
+	for range 5 {
+		failing.RecordSuccess(afterEjection, "a")
+	}
+	if failing.Risky(afterEjection, "a") {
+		t.Error("an upstream is risky after successes")
+	}
+}
+
+// TestProbesByReplaceableRequests simulates a large fleet in which one of six
+// upstreams fails all that it accepts for 8 s, as a server does that calls itself
+// healthy. It guards against losing requests that nothing can replace as probes:
+// with Suspect in place of Risky for them, the fleet loses at least twice as many.
+func TestProbesByReplaceableRequests(t *testing.T) {
+	const routers, upstreams, seconds, perRouterPerSecond = 295, 6, 8, 1.6
+	lost := func(suspect func(h *Health, now clock.Instant, id string, replaceable bool) bool) (n int) {
+		random := rand.New(rand.NewPCG(1, 2))
+		fleet := make([]*Health, routers)
+		for i := range fleet {
+			fleet[i] = NewHealth()
+		}
+		const step = 10 * time.Millisecond
+		for now := clock.Instant(time.Hour); now < clock.Instant(time.Hour+seconds*time.Second); now = now.Add(step) {
+			for _, h := range fleet {
+				// Each router reports to one peer after the other, all within 3 s.
+				if random.IntN(20) == 0 {
+					for _, o := range h.TakeOutcomes() {
+						for range routers / 15 {
+							fleet[random.IntN(routers)].MergePeer(now, o)
+						}
+					}
+				}
+				if random.Float64() >= perRouterPerSecond*step.Seconds() {
+					continue
+				}
+				replaceable := random.IntN(4) == 0
+				candidates := make([]Candidate, upstreams)
+				for u := range candidates {
+					id := string(rune('a' + u))
+					candidates[u] = Candidate{ID: id, Slots: 6, Suspect: suspect(h, now, id, replaceable)}
+				}
+				id := candidates[PickOfTwo(random.Uint64(), candidates).Index].ID
+				switch {
+				case id != "a":
+					h.RecordSuccess(now, id)
+				case replaceable:
+					h.RecordFailure(now, id)
+				default:
+					h.RecordFailure(now, id)
+					n++
+				}
+			}
+		}
+		return n
+	}
+	withProbation := lost(func(h *Health, now clock.Instant, id string, replaceable bool) bool {
+		if replaceable {
+			return h.Suspect(now, id)
+		}
+		return h.Risky(now, id)
+	})
+	naive := lost(func(h *Health, now clock.Instant, id string, _ bool) bool { return h.Suspect(now, id) })
+	t.Logf("lost %d, %d if any request probes", withProbation, naive)
+	if 2*withProbation > naive {
+		t.Errorf("lost %d requests, %d if any request probes", withProbation, naive)
+	}
+}
+
 // TestRecordPause guards against sending requests to an upstream that asked for a
 // pause while it still responds to earlier requests, against a pause that is cut
 // short, also by a shorter one, and against one that does not end.
--- a/internal/router/balance/health.go
+++ b/internal/router/balance/health.go
@@ -22,6 +22,9 @@
 	// failureThreshold is the failure rate above which an upstream is ejected
 	// although it accepts connections: about four failures in a row.
 	failureThreshold = 0.5
+	// probation is how long after its ejection an upstream with a high failure rate
+	// is probed only by requests that another attempt can replace.
+	probation = 10 * time.Second
 	// healthyThreshold is the failure rate below which successes are not
 	// reported to peers.
 	healthyThreshold = 0.02
@@ -167,6 +170,22 @@
 	return r != nil && now < max(r.ejectedUntil, r.pausedUntil)
 }
 
+// Risky reports whether an upstream is suspect, or was ejected for failing requests
+// that it had accepted and has not succeeded since. A request that no other attempt
+// can replace must not probe it: in a large fleet each router probes for itself, so
+// that an upstream which fails everything would cost as many requests as it gets
+// probes.
+func (h *Health) Risky(now clock.Instant, id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.upstreams[xxhash.Sum64String(id)]
+	if r == nil {
+		return false
+	}
+	onProbation := r.failureRate >= failureThreshold && now < r.ejectedUntil.Add(probation)
+	return onProbation || now < max(r.ejectedUntil, r.pausedUntil)
+}
+
 // Retain drops all upstreams that are not in ids.
 func (h *Health) Retain(ids []string) {
 	h.mu.Lock()
--- a/internal/router/forward/pick.go
+++ b/internal/router/forward/pick.go
@@ -134,14 +134,24 @@
 	return balance.PickOfTwo(rendezvous.Key(j.info.ID), candidates)
 }
 
+// replaceable reports whether another attempt can replace the next one if that
+// fails after the upstream accepted it.
+func (j *job) replaceable() bool {
+	return j.route.Retryable() && j.attemptsSent+1 < j.route.MaxAttempts()
+}
+
 func (j *job) candidates(now clock.Instant, upstreams []*directory.Upstream) []balance.Candidate {
 	loads, ownLoads := j.Gossip.Loads(now, upstreamKeys(upstreams))
 	list := make([]balance.Candidate, len(upstreams))
+	suspect := j.Health.Risky
+	if j.replaceable() {
+		suspect = j.Health.Suspect
+	}
 	for i, u := range upstreams {
 		paused := j.Health.PauseLeft(now, u.ID()) > 0
 		list[i] = balance.Candidate{
 			ID: u.ID(), Load: loads[i], OwnLoad: ownLoads[i], Slots: u.Slots(), SameDomain: u.FailureDomain() == j.FailureDomain,
-			Suspect: j.Health.Suspect(now, u.ID()), Excluded: paused || j.tried[u.ID()], Forbidden: paused,
+			Suspect: suspect(now, u.ID()), Excluded: paused || j.tried[u.ID()], Forbidden: paused,
 		}
 	}
 	j.excludeRegions(list, upstreams)
