--- a/internal/host/edge/follow.go
+++ b/internal/host/edge/follow.go
@@ -31,13 +31,13 @@
 	updateFanout = 8
 	// upstreamsBatchDelay collects the heartbeats of many upstreams in one call.
 	upstreamsBatchDelay = 400 * time.Millisecond
-	// initialRetryDelay is a watcher's delay after a failed call to the store. It
-	// doubles up to maxWatcherRetryDelay. The others wait retryDelayPerRouter times
-	// the number of live routers, so that the call rate of a large fleet does not
-	// grow with its size.
-	initialRetryDelay    = 150 * time.Millisecond
-	maxWatcherRetryDelay = 300 * time.Millisecond
-	retryDelayPerRouter  = 22 * time.Millisecond
+	// initialRetryDelay is the delay after a failed call to the store. It doubles up
+	// to maxUrgentRetryDelay where calls are urgent. Elsewhere it grows at once to
+	// retryDelayPerRouter times the number of live routers, so that the call rate of
+	// a large fleet does not grow with its size.
+	initialRetryDelay   = 150 * time.Millisecond
+	maxUrgentRetryDelay = 300 * time.Millisecond
+	retryDelayPerRouter = 22 * time.Millisecond
 	// minRetryDelay is the part of the delay that a newer state of a peer does not
 	// shorten. It limits the calls of a router that the store alone rejects.
 	minRetryDelay = time.Second
@@ -245,7 +245,9 @@
 		e.storeFailures.Store(0)
 		return
 	}
-	delay := retryDelay(e.storeFailures.Add(1), e.isWatcher(tracker.topic), len(e.gossipState.LiveRouters(clock.Now())))
+	_, known := tracker.age(clock.Now())
+	urgent := !known || e.isWatcher(tracker.topic)
+	delay := retryDelay(e.storeFailures.Add(1), urgent, len(e.gossipState.LiveRouters(clock.Now())))
 	clock.Sleep(ctx, min(delay, minRetryDelay))
 	if delay > minRetryDelay {
 		tracker.awaitNewerState(ctx, delay-minRetryDelay)
@@ -253,11 +255,12 @@
 }
 
 // retryDelay returns the time until the next call after a number of consecutive
-// failures. Watchers call the store until it is back, and the others learn of it
-// from them, so these wait the whole time from the first failure on.
-func retryDelay(failures int64, watcher bool, routers int) time.Duration {
-	if !watcher {
-		return max(maxWatcherRetryDelay, time.Duration(routers)*retryDelayPerRouter)
+// failures. Calls are urgent for watchers, which call the store until it is back, and
+// for routers without any state. The others learn of its return from the watchers,
+// so these wait the whole time from the second failure on.
+func retryDelay(failures int64, urgent bool, routers int) time.Duration {
+	if !urgent && failures > 1 {
+		return max(maxUrgentRetryDelay, time.Duration(routers)*retryDelayPerRouter)
 	}
-	return min(initialRetryDelay<<min(failures-1, 8), maxWatcherRetryDelay)
+	return min(initialRetryDelay<<min(failures-1, 8), maxUrgentRetryDelay)
 }
