Close three gaps in the bounds and pauses found on reading the change

Cause, found by reading: the timer that ends the reading of a rejection could set its deadline after the connection was back in the pool, where the next request, one that may run only once perhaps, would have failed; a request without a body set a read deadline while the server reads the connection itself, so that a deadline that had passed counted as the caller's leaving; a pause was forgotten when the registration of its upstream lapsed and returned.

Change: ReadRest keeps the connection out of the pool if its timer fired; no read deadline without a body; paused upstreams are kept.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -227,7 +227,7 @@
 		e.logChanges(e.directory.ExpireMissing(now), 0)
 		ids := e.directory.IDs()
 		e.pools.Retain(now, ids)
-		e.health.Retain(ids)
+		e.health.Retain(now, ids)
 		e.coldStart.Retain(ids)
 	}
 	return ctx.Err()
--- a/internal/router/balance/balance_test.go
+++ b/internal/router/balance/balance_test.go
@@ -369,6 +369,10 @@
 	if last := now.Add(time.Minute - 1); !h.Suspect(last, "a") || h.PauseLeft(last, "a") != 1 {
 		t.Error("a paused upstream is not suspect")
 	}
+	h.Retain(now, nil)
+	if h.PauseLeft(now, "a") != time.Minute {
+		t.Error("a pause is forgotten when the registration of its upstream lapses")
+	}
 	if end := now.Add(time.Minute); h.Suspect(end, "a") || h.PauseLeft(end, "a") != 0 {
 		t.Error("an upstream is suspect after its pause")
 	}
--- a/internal/router/balance/health.go
+++ b/internal/router/balance/health.go
@@ -186,11 +186,17 @@
 	return onProbation || now < max(r.ejectedUntil, r.pausedUntil)
 }
 
-// Retain drops all upstreams that are not in ids.
-func (h *Health) Retain(ids []string) {
+// Retain drops all upstreams that are not in ids, except those that asked for a
+// pause: their registration may lapse and return meanwhile.
+func (h *Health) Retain(now clock.Instant, ids []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	kept := map[uint64]*upstreamHealth{}
+	for key, r := range h.upstreams {
+		if now < r.pausedUntil {
+			kept[key] = r
+		}
+	}
 	for _, id := range ids {
 		key := xxhash.Sum64String(id)
 		if r := h.upstreams[key]; r != nil {
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -78,16 +78,14 @@
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	controller := http.NewResponseController(j.writer)
-	// A caller that sends its body too slowly must not hold the connection forever.
-	err := controller.SetReadDeadline(time.Now().Add(j.remaining()))
+	err := j.limitBodyTime(time.Now().Add(j.remaining()))
 	if err == nil {
 		j.body, err = io.ReadAll(http.MaxBytesReader(j.writer, j.request.Body, limit))
 	}
 	if err == nil {
 		// After an error the deadline stays, since the server reads on after the
 		// response.
-		err = controller.SetReadDeadline(time.Time{})
+		err = j.limitBodyTime(time.Time{})
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -104,6 +102,16 @@
 	return err == nil
 }
 
+// limitBodyTime sets the time until which the body must have arrived, zero for no
+// limit, so that a caller that sends it too slowly does not hold its connection
+// forever. Without a body the server reads the connection itself.
+func (j *job) limitBodyTime(t time.Time) error {
+	if j.request.ContentLength == 0 {
+		return nil
+	}
+	return http.NewResponseController(j.writer).SetReadDeadline(t)
+}
+
 // setDeadline limits the request to the caller's timeout or the route's,
 // whichever is shorter.
 func (j *job) setDeadline() {
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -171,7 +171,7 @@
 		if info.OtherIncarnation {
 			j.Health.RecordUnreachable(clock.Now(), u.ID())
 		}
-		j.drainRejection(res)
+		res.ReadRest(maxRejectionBody, rejectionBodyTimeout)
 		rejected := verdict.Errorf(verdict.NotRun, "upstream %s rejected the request with status %d", u.ID(), res.Status())
 		return rejected.WithRetryAfter(rejectionRetryAfter(j.affine()))
 	}
@@ -206,15 +206,6 @@
 	entry.Info("upstream asked for a pause")
 }
 
-// drainRejection reads the rest of a rejection, so that its connection can be
-// reused.
-func (j *job) drainRejection(res *http1.Response) {
-	t := time.AfterFunc(rejectionBodyTimeout, res.Abort)
-	defer t.Stop()
-	// If the body is not read to its end, Close closes the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(res, maxRejectionBody))
-}
-
 // bufferResponse reads a response up to maxBufferedResponse and relays it.
 func (j *job) bufferResponse(u *directory.Upstream, res *http1.Response) error {
 	body, err := io.ReadAll(io.LimitReader(res, maxBufferedResponse))
--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -277,3 +277,36 @@
 		t.Errorf("received header %q, want 40 from one request", got)
 	}
 }
+
+// TestReadRest guards against waiting for the rest of a body that does not end, and
+// against using its connection again.
+func TestReadRest(t *testing.T) {
+	for _, c := range []struct {
+		body   string
+		length int
+		reused bool
+	}{{"rest", 4, true}, {"rest", 5, false}, {strings.Repeat("x", 200), 200, false}} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(c.length))
+			_, _ = io.WriteString(w, c.body)
+			_ = http.NewResponseController(w).Flush()
+			if len(c.body) < c.length {
+				<-r.Context().Done()
+			}
+		}))
+		pool := NewPool(server.Listener.Addr().String())
+		r, err := pool.Do(context.Background(), Request{
+			Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}, Matches: func(int, http.Header) bool { return true },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		r.ReadRest(100, 50*time.Millisecond)
+		r.Close()
+		if elapsed := time.Since(begin); elapsed > time.Second || (pool.getIdle(time.Minute) != nil) != c.reused {
+			t.Errorf("%d of %d bytes: %v, want the connection reused: %t", len(c.body), c.length, elapsed, c.reused)
+		}
+		server.Close()
+	}
+}
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -87,8 +87,17 @@
 	return n, err
 }
 
-// Abort makes reads of the body fail, also those in progress.
-func (r *Response) Abort() { _ = r.conn.SetDeadline(time.Unix(1, 0)) }
+// ReadRest reads the rest of the body, at most limit bytes and for at most a time.
+// The connection is reused only if the body ends within both.
+func (r *Response) ReadRest(limit int64, timeout time.Duration) {
+	t := time.AfterFunc(timeout, func() { _ = r.conn.SetDeadline(time.Unix(1, 0)) })
+	// If the body does not end, Close closes the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
+	if !t.Stop() {
+		// The deadline may be set after the body was read.
+		r.keepAlive = false
+	}
+}
 
 // Close returns the connection to the pool if the response was read completely.
 // Otherwise it closes the connection, which cancels the request at the upstream.
