--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -310,3 +310,32 @@
 		server.Close()
 	}
 }
+
+// FuzzResponse guards against bytes that crash the reader of responses, and against
+// a response to another request that is accepted.
+func FuzzResponse(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 2\r\n\r\nok")
+	f.Add("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: 8\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\nx\r\n0\r\nT: 1\r\n\r\nHTTP/1.1 503 Full\r\nRequest-Id: 7\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nKeep-Alive: timeout=99999999999999999999\r\nConnection: close\r\n\r\nrest")
+	f.Fuzz(func(t *testing.T, text string) {
+		client, server := net.Pipe()
+		go func() {
+			defer server.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+				_, _ = io.WriteString(server, text)
+			}
+		}()
+		defer client.Close()
+		r, err := newConn(client).roundTrip(Request{
+			Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{},
+			Matches: func(_ int, h http.Header) bool { return h.Get("Request-Id") == "7" },
+		})
+		if err != nil {
+			return
+		}
+		if r.Header().Get("Request-Id") != "7" || r.Status() < http.StatusOK {
+			t.Errorf("accepted status %d, header %v", r.Status(), r.Header())
+		}
+		_, _ = io.Copy(io.Discard, r.body)
+	})
+}
