--- a/internal/router/forward/stall_test.go
+++ b/internal/router/forward/stall_test.go
@@ -13,7 +13,7 @@
 	const limit = 50 * time.Millisecond
 	for _, c := range []struct {
 		name string
-		// replacements is how often replace denies a replacement first.
+		// denials is how often replace denies a replacement first.
 		denials int64
 		use     func(g *stallGuard)
 		cut     bool
