Tell crashes of upstreams from broken connections, and log what they ran

Change: a connection that breaks in a response counts as a crash once the upstream refuses connections or another incarnation answers at its address. The router that sees the first one checks at once by opening a connection, which the next request uses. Upstreams that leave, and requests whose response has gone on for a second, are left out. Routing is unchanged.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/activeconfig"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/crash"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/forward"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
@@ -115,9 +116,9 @@
 	e.coldStart = budget.NewColdStart(s.Name(), factor, slack)
 	e.gateway = forward.New(forward.Dependencies{
 		Protocol: protocol, ActiveConfig: e.activeConfig, Directory: e.directory, Gossip: e.gossipState, Health: e.health,
-		Balancer: balance.New(s.LoadFactor()), RetryBudget: budget.NewRetry(s.Retries()), ColdStart: e.coldStart, Pools: e.pools, PrefixIndex: e.prefixIndex,
+		Balancer: balance.New(s.LoadFactor()), RetryBudget: budget.NewRetry(s.Retries()), ColdStart: e.coldStart, Pools: e.pools, PrefixIndex: e.prefixIndex, Crashes: crash.NewDetector(),
 		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain(), Regions: s.Regions(),
-		StartupGate: e.startupGate, ReportOverload: e.announceOverload,
+		StartupGate: e.startupGate, ReportOverload: e.announceOverload, ReportCrash: e.recordCrash,
 		ShutdownTimeLeft: func() (time.Duration, bool) { return e.server.ShutdownTimeLeft() },
 	})
 	e.server = httpserver.New(e.gateway, e.idleTimeout)
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -74,10 +75,14 @@
 	j.stall = newStallGuard(j.reserveRetry, func() { cancel(errUpstreamStalled) })
 	j.stall.arm(j.stallTimeout())
 	defer j.stall.pause()
+	j.attemptBegan = 0
 	res, err := j.Pools.Get(u.ID(), u.Incarnation(), u.Address()).Do(ctx, j.buildRequest(u))
 	if errors.Is(err, http1.ErrNotSent) {
 		return err
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		j.recordGone(u)
+	}
 	if err != nil {
 		if verdict.FromError(err) != verdict.NotRun {
 			j.attemptsSent++
@@ -152,6 +157,7 @@
 		j.Health.RecordUnreachable(clock.Now(), u.ID())
 	default:
 		j.Health.RecordFailure(clock.Now(), u.ID())
+		j.recordBroken(u, err)
 	}
 	return err
 }
@@ -169,6 +175,7 @@
 	j.recordAnnouncements(u, res.Status(), info)
 	if info.OtherIncarnation || info.NotRun {
 		if info.OtherIncarnation {
+			j.recordGone(u)
 			j.Health.RecordUnreachable(clock.Now(), u.ID())
 		}
 		res.ReadRest(maxRejectionBody, rejectionBodyTimeout)
@@ -283,7 +290,6 @@
 func (j *job) relayStream(u *directory.Upstream, res *http1.Response) error {
 	flusher := http.NewResponseController(j.writer)
 	events := http1.NewEventReader(res)
-	cacheRecorded := false
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -294,8 +300,8 @@
 		if err != nil {
 			return j.recordFailure(u, verdict.Errorf(verdict.Ran, "stream of %s broke after event %q: %w", u.ID(), j.lastEvent, err))
 		}
-		if !cacheRecorded {
-			cacheRecorded = true
+		if j.attemptBegan == 0 {
+			j.attemptBegan = clock.Now()
 			j.recordCached(u)
 		}
 		j.writeStreamHeader(res)
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -19,6 +19,8 @@
 	// shortest and most widely shared first. Each name includes the parts
 	// before it.
 	Prefixes []string
+	// Parts names the parts of the prompt that other requests share, in order.
+	Parts []string
 	// Header holds the fields that are forwarded unchanged.
 	Header http.Header
 }
--- /dev/null
+++ b/internal/router/forward/crash.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/crash"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+)
+
+const (
+	// crashCheckTimeout limits the check whether an upstream still accepts
+	// connections; the next attempt waits for it.
+	crashCheckTimeout = 100 * time.Millisecond
+	// maxCrashDelay is the time after the first event of a response in which its
+	// request counts as a possible cause of a crash.
+	maxCrashDelay = time.Second
+)
+
+// recordBroken records that the connection of the current attempt ended, and checks
+// whether the upstream has crashed. An upstream that leaves ends without a crash.
+func (j *job) recordBroken(u *directory.Upstream, err error) {
+	now := clock.Now()
+	if len(j.info.Parts) == 0 || !connectionEnded(err) || !j.Directory.Receives(u) || j.attemptBegan != 0 && now.Sub(j.attemptBegan) > maxCrashDelay {
+		return
+	}
+	if !j.Crashes.RecordBroken(now, u.Engine(), u.ID(), j.serviceName, crash.Request{ID: j.info.ID, Parts: j.info.Parts}) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, crashCheckTimeout)
+	defer cancel()
+	switch err := j.Pools.Get(u.ID(), u.Incarnation(), u.Address()).Check(ctx); {
+	case err == nil:
+		j.Crashes.Alive(u.Engine())
+	case errors.Is(err, syscall.ECONNREFUSED):
+		j.recordGone(u)
+	}
+}
+
+// recordGone records that an incarnation of an upstream does not exist any more.
+func (j *job) recordGone(u *directory.Upstream) {
+	if r, ok := j.Crashes.Gone(clock.Now(), u.Engine()); ok {
+		j.ReportCrash(r)
+	}
+}
+
+// connectionEnded reports whether an attempt failed because the upstream ended its
+// connection.
+func connectionEnded(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/activeconfig"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/crash"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
@@ -29,11 +30,15 @@
 	ColdStart    *budget.ColdStart
 	Pools        *http1.Pools
 	PrefixIndex  *prefix.Index
+	Crashes      *crash.Detector
 	Observer     admission.Observer
 	Log          logrus.FieldLogger
 	// StartupGate delays requests until the router has a configuration and a
 	// list of upstreams.
 	StartupGate *StartupGate
+	// ReportCrash is called when requests of this router were in progress at an
+	// upstream that crashed.
+	ReportCrash func(r crash.Report)
 	// ReportOverload is called when an upstream reports a load above the bound
 	// by which it was picked.
 	ReportOverload func(upstream uint64)
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -79,6 +79,8 @@
 	// stall cancels the current attempt if the upstream makes no progress.
 	stall     *stallGuard
 	lastEvent string
+	// attemptBegan is when the first event of the current attempt arrived, 0 before.
+	attemptBegan clock.Instant
 
 	upstream        string
 	status          int
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -96,6 +96,25 @@
 	return c, nil
 }
 
+// Check reports whether the upstream accepts connections, by opening one, which the
+// next request uses.
+func (p *Pool) Check(ctx context.Context) error {
+	p.mu.Lock()
+	p.openConns++
+	p.dials++
+	p.mu.Unlock()
+	c, err := dial(ctx, p.address)
+	if err != nil {
+		p.mu.Lock()
+		p.openConns--
+		p.mu.Unlock()
+		return err
+	}
+	c.idleTimeout = defaultIdleTimeout
+	p.put(c)
+	return nil
+}
+
 func (p *Pool) getIdle(maxIdleAge time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
