Decide which prompt parts crash upstreams

Counting crashes alone is not enough: the part before the deadly one, and the first part, were in progress at as many crashes.

Change: package quarantine, not used yet. Parts in progress at three crashes that no successful request clears are quarantined; parts that cannot be told apart are refused only together; a crash that is explained accuses nothing else. Routers exchange facts and come to the same decision. A set returns by a probe of one router, after a minute, then two, up to sixteen.

--- /dev/null
+++ b/internal/router/quarantine/decide.go
@@ -0,0 +1,189 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+// sighting is a request that was in progress at a crash, with those of its parts
+// that are not known to be sound.
+type sighting struct {
+	id    Crash
+	crash *crash
+	parts []Part
+}
+
+// suspicion is the evidence against the parts that occur together with one part.
+type suspicion struct {
+	set     []Part
+	crashes map[Crash]*crash
+	first   clock.Instant
+	last    clock.Instant
+}
+
+// sufficient reports whether there are enough crashes.
+func (s *suspicion) sufficient() bool {
+	return len(s.crashes) >= minCrashes && s.last.Sub(s.first) >= minSpan
+}
+
+// specific reports whether a request without the set succeeded since the first crash.
+// While every request fails, crashes say nothing about the parts.
+func (s *suspicion) specific(lastSuccess clock.Instant) bool { return lastSuccess > s.first }
+
+// reconsider brings the quarantined sets in line with the evidence, if that has
+// changed, and returns what changes.
+func (q *Quarantine) reconsider(now clock.Instant) []Change {
+	if !q.changed {
+		return nil
+	}
+	q.changed = false
+	sightings := q.sightings()
+	changes := q.narrow()
+	explained := map[Crash]bool{}
+	for _, e := range q.entries {
+		markExplained(explained, sightings, e.parts)
+	}
+	q.awaitsSuccess = false
+	for len(q.entries) < maxEntries {
+		s := strongest(sightings, explained)
+		if s == nil {
+			break
+		}
+		if !s.specific(q.lastSuccess) {
+			q.awaitsSuccess = true
+			break
+		}
+		e := newEntry(now, s)
+		q.entries[setKey(e.parts)] = e
+		q.tell(news{kind: entryNews, key: setKey(e.parts)})
+		changes = append(changes, Change{Kind: Quarantined, Entry: *e})
+		markExplained(explained, sightings, e.parts)
+	}
+	clear(q.accused)
+	for _, s := range sightings {
+		for _, p := range s.parts {
+			q.accused[p] = true
+		}
+	}
+	for _, e := range q.entries {
+		for _, p := range e.parts {
+			q.accused[p] = true
+		}
+	}
+	return changes
+}
+
+// sightings returns the requests that were in progress at crashes and have parts
+// that are not known to be sound.
+func (q *Quarantine) sightings() []sighting {
+	var list []sighting
+	for _, id := range slices.Sorted(maps.Keys(q.crashes)) {
+		c := q.crashes[id]
+		for _, key := range slices.Sorted(maps.Keys(c.sightings)) {
+			parts := slices.DeleteFunc(slices.Clone(c.sightings[key]), func(p Part) bool { return q.soundAt(p, c.at) })
+			if len(parts) > 0 {
+				list = append(list, sighting{id, c, parts})
+			}
+		}
+	}
+	return list
+}
+
+// narrow removes the parts that are sound from the quarantined sets.
+func (q *Quarantine) narrow() []Change {
+	var changes []Change
+	for _, key := range slices.Sorted(maps.Keys(q.entries)) {
+		e := q.entries[key]
+		parts := slices.DeleteFunc(slices.Clone(e.parts), func(p Part) bool { return q.soundAt(p, e.lastAt) })
+		if len(parts) == len(e.parts) {
+			continue
+		}
+		delete(q.entries, key)
+		if len(parts) == 0 {
+			changes = append(changes, Change{Kind: Released, Entry: *e})
+			continue
+		}
+		e.parts = parts
+		if q.entries[setKey(parts)] == nil {
+			q.entries[setKey(parts)] = e
+			changes = append(changes, Change{Kind: Narrowed, Entry: *e})
+		}
+	}
+	return changes
+}
+
+// markExplained marks the crashes at which a request with all parts of a set was in
+// progress.
+func markExplained(explained map[Crash]bool, sightings []sighting, set []Part) {
+	for _, s := range sightings {
+		if containsAll(s.parts, set) {
+			explained[s.id] = true
+		}
+	}
+}
+
+// strongest returns the strongest sufficient suspicion from the crashes that are not
+// explained, nil if there is none: the largest set, which forbids the fewest
+// requests, and among these the one with the most crashes.
+func strongest(sightings []sighting, explained map[Crash]bool) *suspicion {
+	suspicions := map[Part]*suspicion{}
+	for _, s := range sightings {
+		if explained[s.id] {
+			continue
+		}
+		for _, p := range s.parts {
+			suspicions[p] = suspicions[p].add(s)
+		}
+	}
+	var best *suspicion
+	for _, p := range slices.Sorted(maps.Keys(suspicions)) {
+		s := suspicions[p]
+		if s.sufficient() && (best == nil || cmp.Or(cmp.Compare(len(s.set), len(best.set)), cmp.Compare(len(s.crashes), len(best.crashes))) > 0) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (s *suspicion) add(o sighting) *suspicion {
+	if s == nil {
+		return &suspicion{set: o.parts, crashes: map[Crash]*crash{o.id: o.crash}, first: o.crash.at, last: o.crash.at}
+	}
+	s.set = intersect(s.set, o.parts)
+	s.crashes[o.id] = o.crash
+	s.first, s.last = min(s.first, o.crash.at), max(s.last, o.crash.at)
+	return s
+}
+
+func newEntry(now clock.Instant, s *suspicion) *Entry {
+	e := &Entry{parts: s.set, crashes: len(s.crashes), firstAt: s.first, lastAt: s.last, until: now.Add(minQuarantine)}
+	for _, c := range s.crashes {
+		e.upstreams = append(e.upstreams, c.upstream)
+	}
+	slices.Sort(e.upstreams)
+	e.upstreams = e.upstreams[:min(len(e.upstreams), maxUpstreamsPerChange)]
+	return e
+}
+
+// recordCrashOf counts a crash during which a request with all parts of an entry was
+// in progress, and reports whether that request was a probe.
+func (e *Entry) recordCrashOf(at clock.Instant, now clock.Instant) bool {
+	e.crashes++
+	e.lastAt = max(e.lastAt, at)
+	if at < e.until {
+		return false
+	}
+	e.strikes++
+	e.until = now.Add(quarantineTime(e.strikes))
+	return true
+}
+
+// quarantineTime returns the time until the next probe after a number of probes that
+// crashed an upstream.
+func quarantineTime(strikes int) time.Duration {
+	return min(minQuarantine<<min(strikes, 8), maxQuarantine)
+}
--- /dev/null
+++ b/internal/router/quarantine/doc.go
@@ -0,0 +1,28 @@
+// Package quarantine decides which prompt parts crash upstreams, from the
+// requests that were in progress at the crashes, and keeps requests with these
+// parts away from upstreams until a probe succeeds. It performs no I/O: the
+// routers of a fleet exchange its facts, and every router that has the same facts
+// comes to the same decision.
+//
+// # Evidence
+//
+// A crash is the end of one incarnation of an upstream. Each request in progress
+// there is a sighting of its parts. A part that occurs in a request whose response
+// began normally is sound as of that time, and crashes up to then are no evidence
+// against it. Popular parts are in progress at every crash, but are cleared at
+// once, since other requests with them succeed.
+//
+// # Decision
+//
+// Parts that are in progress at minCrashes crashes, and not known to be sound, are
+// quarantined. Parts that always occur together at these crashes cannot be told
+// apart, so only requests with all of them are refused; a request with some of them
+// shows which ones are sound. A crash that a quarantined set explains is no
+// evidence against the other requests at that upstream.
+//
+// # Return
+//
+// A set is quarantined for minQuarantine, twice as long after each further crash.
+// After that one router at a time sends one request to an upstream. If that
+// succeeds, the set is released everywhere. Sets that nobody requests expire.
+package quarantine
--- /dev/null
+++ b/internal/router/quarantine/fleet_test.go
@@ -0,0 +1,271 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+const (
+	fleetTick     = 10 * time.Millisecond
+	fleetContact  = 3 * time.Second
+	fleetDowntime = 3200 * time.Millisecond
+	fleetRuntime  = 150 * time.Millisecond
+	// allowedAfterContact is how many requests with a deadly part may still reach
+	// upstreams later than fleetContact after the fifth crash.
+	allowedAfterContact = 3
+)
+
+// simulatedRequest is a request in progress at an upstream.
+type simulatedRequest struct {
+	router  int
+	parts   []Part
+	deadly  Part
+	attempt int
+	sentAt  clock.Instant
+}
+
+type simulatedUpstream struct {
+	incarnation int
+	upAt        clock.Instant
+	leaving     bool
+	running     []simulatedRequest
+}
+
+// fleet simulates routers that forward requests to upstreams, some with parts that
+// crash the upstream fleetRuntime after they were sent, while routers restart and
+// upstreams crash for other reasons.
+type fleet struct {
+	rng       *rand.Rand
+	now       clock.Instant
+	routers   []*Quarantine
+	upstreams []*simulatedUpstream
+	// mail holds messages that arrive in the next tick, by receiver.
+	mail      map[int][][]Fact
+	lossShare float64
+	// naive sends all requests.
+	naive bool
+
+	crashes      map[Part]int
+	fifthCrash   map[Part]clock.Instant
+	lateArrivals map[Part]int
+	soundRefused []string
+	refused      int
+}
+
+func newFleet(seed uint64, routers, upstreams int) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 22)), now: clock.Instant(time.Hour), mail: map[int][][]Fact{}, lossShare: 0.03,
+		crashes: map[Part]int{}, fifthCrash: map[Part]clock.Instant{}, lateArrivals: map[Part]int{},
+	}
+	for range routers {
+		f.routers = append(f.routers, New())
+	}
+	for range upstreams {
+		f.upstreams = append(f.upstreams, &simulatedUpstream{})
+	}
+	return f
+}
+
+func (f *fleet) crashID(u int) Crash { return Crash(u*1000 + f.upstreams[u].incarnation + 1) }
+
+// request sends a new request from a random router. deadly is the index of its deadly
+// part, or negative.
+func (f *fleet) request(deadly int) {
+	r := simulatedRequest{router: f.rng.IntN(len(f.routers))}
+	names := []string{fmt.Sprint("first-", f.rng.IntN(4)), fmt.Sprint("subject-", f.rng.IntN(60))}
+	if deadly >= 0 {
+		names[1] = fmt.Sprint("subject-", deadly)
+		names = append(names, fmt.Sprint("deadly-", deadly))
+		r.deadly = NewPart("model", names[2])
+	}
+	r.parts = NewParts("model", names)
+	f.send(r)
+}
+
+// send sends a request, unless it is refused, to a random upstream that accepts
+// connections.
+func (f *fleet) send(r simulatedRequest) {
+	if _, refused := f.routers[r.router].Check(f.now, r.parts, func(string) bool { return false }); refused && !f.naive {
+		f.refused++
+		if r.deadly == "" {
+			f.soundRefused = append(f.soundRefused, fmt.Sprint(r.parts))
+		}
+		return
+	}
+	var up []int
+	for i, u := range f.upstreams {
+		if f.now >= u.upAt {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	if fifth, ok := f.fifthCrash[r.deadly]; ok && f.now > fifth.Add(fleetContact) {
+		f.lateArrivals[r.deadly]++
+	}
+	r.sentAt = f.now
+	u := f.upstreams[up[f.rng.IntN(len(up))]]
+	u.running = append(u.running, r)
+}
+
+// crash ends an upstream. Requests in progress are sent once more.
+func (f *fleet) crash(u int) {
+	up := f.upstreams[u]
+	running, id := up.running, f.crashID(u)
+	up.running, up.upAt = nil, f.now.Add(fleetDowntime)
+	for _, r := range running {
+		f.routers[r.router].AddCrash(f.now, id, f.now, fmt.Sprint("u", u), [][]Part{r.parts})
+	}
+	up.incarnation++
+	for _, r := range running {
+		if r.attempt++; r.attempt < 2 {
+			f.send(r)
+		}
+	}
+}
+
+// step advances the upstreams by a tick.
+func (f *fleet) step() {
+	f.now = f.now.Add(fleetTick)
+	for i, u := range f.upstreams {
+		for _, r := range slices.Clone(u.running) {
+			if f.now.Sub(r.sentAt) < fleetRuntime || !slices.ContainsFunc(u.running, func(o simulatedRequest) bool { return o.sentAt == r.sentAt && o.router == r.router }) {
+				continue
+			}
+			if r.deadly != "" {
+				if f.crashes[r.deadly]++; f.crashes[r.deadly] == 5 {
+					f.fifthCrash[r.deadly] = f.now
+				}
+				f.crash(i)
+				break
+			}
+			u.running = slices.DeleteFunc(u.running, func(o simulatedRequest) bool { return o.sentAt == r.sentAt && o.router == r.router })
+			f.routers[r.router].RecordSuccess(f.now, f.now.Add(-fleetTick), r.parts)
+		}
+	}
+}
+
+// exchange delivers the mail and sends the news of each router to some peers, and a
+// snapshot to one.
+func (f *fleet) exchange() {
+	mail := f.mail
+	f.mail = map[int][][]Fact{}
+	for to, messages := range mail {
+		for _, facts := range messages {
+			f.routers[to].Merge(f.now, facts)
+		}
+	}
+	for _, q := range f.routers {
+		facts := q.TakeNews(f.now)
+		for range 8 {
+			f.post(facts)
+		}
+		f.post(q.Snapshot(f.now))
+	}
+}
+
+func (f *fleet) post(facts []Fact) {
+	if len(facts) == 0 || f.rng.Float64() < f.lossShare {
+		return
+	}
+	to := f.rng.IntN(len(f.routers))
+	f.mail[to] = append(f.mail[to], facts)
+}
+
+// run plays a time of traffic. Each of the deadly parts is in a share of the requests.
+func (f *fleet) run(length time.Duration, perSecond float64, deadlyParts int, deadlyShare float64) {
+	begin := f.now
+	for tick := 0; f.now.Sub(begin) < length; tick++ {
+		f.step()
+		for n := perSecond * fleetTick.Seconds(); n > 0; n-- {
+			if n < 1 && f.rng.Float64() >= n {
+				break
+			}
+			deadly := -1
+			if f.rng.Float64() < deadlyShare*float64(deadlyParts) && f.now.Sub(begin) > time.Second {
+				deadly = f.rng.IntN(deadlyParts)
+			}
+			f.request(deadly)
+		}
+		if tick%5 == 0 {
+			f.exchange()
+		}
+		if tick%300 == 0 && tick > 0 {
+			f.disrupt()
+		}
+		if tick%50 == 0 {
+			for _, q := range f.routers {
+				q.Expire(f.now)
+			}
+		}
+	}
+}
+
+// disrupt crashes a fifth of the upstreams and kills a router.
+func (f *fleet) disrupt() {
+	for u := range f.upstreams {
+		if f.rng.Float64() < 0.2 {
+			f.crash(u)
+		}
+	}
+	f.routers[f.rng.IntN(len(f.routers))] = New()
+}
+
+// TestDeadlyPartsNaive shows that the bound of TestDeadlyParts is broken if every
+// request is sent.
+func TestDeadlyPartsNaive(t *testing.T) {
+	t.Parallel()
+	f := newFleet(1, 9, 9)
+	f.naive = true
+	f.run(30*time.Second, 80, 1, 0.02)
+	for part, n := range f.lateArrivals {
+		if n > allowedAfterContact {
+			return
+		}
+		t.Errorf("%d requests with %s", n, part)
+	}
+}
+
+// TestDeadlyParts guards against parts that crash one upstream after the other, and
+// against refusing requests without one, while upstreams crash for other reasons and
+// routers restart.
+func TestDeadlyParts(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name               string
+		routers, upstreams int
+		perSecond          float64
+		deadlyParts        int
+		share              float64
+		seeds              uint64
+	}{
+		{"small fleet", 9, 9, 80, 1, 0.02, 12},
+		{"rare", 9, 9, 80, 1, 0.003, 12},
+		{"several", 9, 18, 160, 3, 0.01, 12},
+		{"large fleet", 60, 60, 500, 2, 0.02, 2},
+		{"no deadly part", 9, 18, 160, 0, 0, 12},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range c.seeds {
+				f := newFleet(seed, c.routers, c.upstreams)
+				f.run(30*time.Second, c.perSecond, c.deadlyParts, c.share)
+				if len(f.soundRefused) > 0 {
+					t.Errorf("seed %d: %d requests without a deadly part refused, first %s", seed, len(f.soundRefused), f.soundRefused[0])
+				}
+				for part, n := range f.lateArrivals {
+					if n > allowedAfterContact {
+						t.Errorf("seed %d: %d requests with %s sent later than %s after the fifth crash, %d crashes", seed, n, part, fleetContact, f.crashes[part])
+					}
+				}
+				t.Logf("seed %d: crashes %v, late %v, refused %d", seed, f.crashes, f.lateArrivals, f.refused)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/router/quarantine/quarantine.go
@@ -0,0 +1,271 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+const (
+	// minCrashes is the number of crashes after which parts are quarantined.
+	minCrashes = 3
+	// minSpan is the time that these crashes must span. Peers need it to report a
+	// part as sound when many upstreams crash at once for another reason.
+	minSpan = 300 * time.Millisecond
+	// soundMargin is the time after a request succeeded for which its parts still
+	// count as sound.
+	soundMargin = 500 * time.Millisecond
+	// minQuarantine and maxQuarantine limit the time until a probe.
+	minQuarantine = time.Minute
+	maxQuarantine = 16 * time.Minute
+	// probeInterval is the time between two probes, in which the outcome of the
+	// first becomes known.
+	probeInterval = 15 * time.Second
+	// probeRetryAfter is the time after which a caller that was refused between two
+	// probes may ask again.
+	probeRetryAfter = 5 * time.Second
+	// probation is how long a set that nobody probes stays quarantined.
+	probation = 10 * time.Minute
+	// evidenceTTL is how long crashes count.
+	evidenceTTL = 10 * time.Minute
+	// successTTL is how long successes of parts without evidence are kept.
+	successTTL = 5 * time.Second
+
+	maxCrashes            = 128
+	maxSightingsPerCrash  = 32
+	maxEntries            = 64
+	maxSound              = 1 << 14
+	maxUpstreamsPerChange = 5
+)
+
+// Crash identifies the end of one incarnation of an upstream.
+type Crash uint64
+
+// crash is the evidence of one crash.
+type crash struct {
+	at       clock.Instant
+	upstream string
+	// sightings are the parts of the requests that were in progress.
+	sightings map[string][]Part
+}
+
+// Entry is a quarantined set of parts. Requests that have all of them are refused.
+type Entry struct {
+	parts []Part
+	// crashes counts the crashes that are the evidence, and upstreams names some
+	// of the upstreams.
+	crashes   int
+	upstreams []string
+	firstAt   clock.Instant
+	lastAt    clock.Instant
+	// until is the time of the first probe, and nextProbe that of the next one.
+	until     clock.Instant
+	nextProbe clock.Instant
+	// strikes counts the probes that crashed an upstream.
+	strikes int
+}
+
+// Parts returns the parts of the set in ascending order.
+func (e Entry) Parts() []Part { return e.parts }
+
+// Crashes returns the number of crashes that are the evidence.
+func (e Entry) Crashes() int { return e.crashes }
+
+// Upstreams returns the IDs of some of the upstreams that crashed.
+func (e Entry) Upstreams() []string { return e.upstreams }
+
+// EvidenceAge returns the times since the first and the last crash.
+func (e Entry) EvidenceAge(now clock.Instant) (first, last time.Duration) {
+	return now.Sub(e.firstAt), now.Sub(e.lastAt)
+}
+
+// TimeLeft returns the time until the set may be probed.
+func (e Entry) TimeLeft(now clock.Instant) time.Duration { return max(0, e.until.Sub(now)) }
+
+// RetryAfter returns when a caller whose request is refused should ask again.
+func (e Entry) RetryAfter(now clock.Instant) time.Duration {
+	return max(e.TimeLeft(now), probeRetryAfter)
+}
+
+// Strikes returns the number of probes that crashed an upstream.
+func (e Entry) Strikes() int { return e.strikes }
+
+// Kinds of changes.
+const (
+	// Quarantined means that a set is refused from now on.
+	Quarantined = "quarantined"
+	// Narrowed means that a part of a set is sound.
+	Narrowed = "narrowed"
+	// Extended means that a probe crashed an upstream.
+	Extended = "extended"
+	// Released means that all parts of a set are sound.
+	Released = "released"
+	// Expired means that nobody requested a set for a long time.
+	Expired = "expired"
+)
+
+// Change is a change of the quarantined sets, for the log.
+type Change struct {
+	Kind  string
+	Entry Entry
+	// FromPeer is set if a peer made the decision.
+	FromPeer bool
+}
+
+// Quarantine holds the evidence and the quarantined sets. It is safe for concurrent
+// use.
+type Quarantine struct {
+	mu      sync.Mutex
+	crashes map[Crash]*crash
+	entries map[string]*Entry
+	// sound maps parts to the last time at which a response to a request with them
+	// began and then completed.
+	sound map[Part]clock.Instant
+	// told maps parts to the newest time in sound that peers have been told.
+	told map[Part]clock.Instant
+	// accused holds the parts against which there is evidence.
+	accused map[Part]bool
+	// lastSuccess is the newest time in sound, also of parts that were forgotten.
+	lastSuccess clock.Instant
+	// changed is set if evidence was added or invalidated since the last decision.
+	changed bool
+	// awaitsSuccess is set while a decision lacks only a success of another request.
+	awaitsSuccess bool
+	news          []news
+	wake          chan struct{}
+}
+
+// New returns a Quarantine without evidence.
+func New() *Quarantine {
+	return &Quarantine{
+		crashes: map[Crash]*crash{}, entries: map[string]*Entry{}, sound: map[Part]clock.Instant{}, told: map[Part]clock.Instant{},
+		accused: map[Part]bool{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Check returns the quarantined set that forbids a request with these parts, and
+// false if there is none. mayProbe reports whether this router is the one that
+// probes a set, given its key; the request is then allowed once in each
+// probeInterval after the time of the quarantine.
+func (q *Quarantine) Check(now clock.Instant, parts []Part, mayProbe func(key string) bool) (Entry, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for key, e := range q.entries {
+		if !containsAll(parts, e.parts) {
+			continue
+		}
+		if now >= e.until && now >= e.nextProbe && mayProbe(key) {
+			e.nextProbe = now.Add(probeInterval)
+			continue
+		}
+		return *e, true
+	}
+	return Entry{}, false
+}
+
+// Forbids returns the quarantined set that a request with these parts has, and false
+// if there is none or it may be probed. It serves to check a request again that Check
+// allowed.
+func (q *Quarantine) Forbids(now clock.Instant, parts []Part) (Entry, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range q.entries {
+		if now < e.until && containsAll(parts, e.parts) {
+			return *e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Entries returns the quarantined sets, the newest evidence first.
+func (q *Quarantine) Entries() []Entry {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.sortedEntries()
+}
+
+func (q *Quarantine) sortedEntries() []Entry {
+	list := make([]Entry, 0, len(q.entries))
+	for _, key := range slices.Sorted(maps.Keys(q.entries)) {
+		list = append(list, *q.entries[key])
+	}
+	slices.SortStableFunc(list, func(a, b Entry) int { return int(b.lastAt.Sub(a.lastAt)) })
+	return list
+}
+
+// RecordSuccess records that the response to a request with these parts began at a
+// time and completed since. It returns what changes.
+func (q *Quarantine) RecordSuccess(now, began clock.Instant, parts []Part) []Change {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range parts {
+		if _, known := q.sound[p]; !known && len(q.sound) >= maxSound {
+			q.forgetSuccesses(now)
+			if len(q.sound) >= maxSound && !q.accused[p] {
+				continue
+			}
+		}
+		q.recordSound(p, began)
+		if q.accused[p] {
+			q.tellSound(p)
+		}
+	}
+	return q.reconsider(now)
+}
+
+func (q *Quarantine) recordSound(p Part, at clock.Instant) {
+	q.changed = q.changed || q.accused[p] || q.awaitsSuccess
+	q.sound[p] = max(q.sound[p], at)
+	q.lastSuccess = max(q.lastSuccess, at)
+}
+
+// soundAt reports whether a crash at a time is no evidence against a part.
+func (q *Quarantine) soundAt(p Part, at clock.Instant) bool {
+	s, ok := q.sound[p]
+	return ok && at <= s.Add(soundMargin)
+}
+
+// forgetSuccesses drops the successes that are neither recent nor needed to judge
+// the evidence.
+func (q *Quarantine) forgetSuccesses(now clock.Instant) {
+	seen := map[Part]bool{}
+	for _, c := range q.crashes {
+		for _, parts := range c.sightings {
+			for _, p := range parts {
+				seen[p] = true
+			}
+		}
+	}
+	for p, at := range q.sound {
+		age := now.Sub(at)
+		if age > evidenceTTL || age > successTTL && !seen[p] && !q.accused[p] {
+			delete(q.sound, p)
+			delete(q.told, p)
+		}
+	}
+}
+
+// Expire drops what is too old and returns what changes.
+func (q *Quarantine) Expire(now clock.Instant) []Change {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id, c := range q.crashes {
+		if now.Sub(c.at) > evidenceTTL {
+			delete(q.crashes, id)
+			q.changed = true
+		}
+	}
+	q.forgetSuccesses(now)
+	var changes []Change
+	for key, e := range q.entries {
+		if now.Sub(e.until) > probation {
+			delete(q.entries, key)
+			changes = append(changes, Change{Kind: Expired, Entry: *e})
+			q.changed = true
+		}
+	}
+	return append(changes, q.reconsider(now)...)
+}
--- /dev/null
+++ b/internal/router/quarantine/quarantine_test.go
@@ -0,0 +1,206 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+)
+
+// script runs the commands of a test file on routers that are created on first use.
+type script struct {
+	routers map[string]*Quarantine
+	now     clock.Instant
+	began   map[string]clock.Instant
+	output  strings.Builder
+}
+
+func (s *script) router(name string) *Quarantine {
+	if s.routers[name] == nil {
+		s.routers[name] = New()
+	}
+	return s.routers[name]
+}
+
+func (s *script) report(router string, changes []Change) {
+	for _, c := range changes {
+		fmt.Fprintf(&s.output, "%s: %s %s crashes=%d left=%s strikes=%d peer=%t\n", router, c.Kind, names(c.Entry.Parts()), c.Entry.Crashes(), c.Entry.TimeLeft(s.now), c.Entry.Strikes(), c.FromPeer)
+	}
+}
+
+func names(parts []Part) string {
+	var list []string
+	for _, p := range parts {
+		list = append(list, strings.TrimPrefix(string(p), "model/"))
+	}
+	return strings.Join(list, ",")
+}
+
+func partsOf(list string) []Part { return NewParts("model", strings.Split(list, ",")) }
+
+func crashOf(name string) Crash {
+	var id Crash
+	for _, c := range name {
+		id = id*31 + Crash(c)
+	}
+	return id
+}
+
+func (s *script) run(t *testing.T, td *datadriven.TestData, line string) {
+	f := strings.Fields(line)
+	switch {
+	case f[0] == "wait":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			td.Fatalf(t, "%v", err)
+		}
+		s.now = s.now.Add(d)
+		return
+	case f[0] == "begin":
+		s.began[f[1]] = s.now
+		return
+	}
+	name, q := f[0], s.router(f[0])
+	switch f[1] {
+	case "ends": // a request was in progress at a crash
+		s.report(name, q.AddCrash(s.now, crashOf(f[2]), s.now, f[2], [][]Part{partsOf(f[3])}))
+	case "serves":
+		began := s.now
+		if len(f) > 3 {
+			began = s.began[f[3]]
+		}
+		s.report(name, q.RecordSuccess(s.now, began, partsOf(f[2])))
+	case "asks", "probes":
+		e, refused := q.Check(s.now, partsOf(f[2]), func(string) bool { return f[1] == "probes" })
+		fmt.Fprintf(&s.output, "%s: %s refused=%t", name, f[2], refused)
+		if refused {
+			fmt.Fprintf(&s.output, " because of %s, again in %s", names(e.Parts()), e.RetryAfter(s.now))
+		}
+		fmt.Fprintln(&s.output)
+	case "tells", "snapshot":
+		facts := q.Snapshot(s.now)
+		if f[1] == "tells" {
+			facts = q.TakeNews(s.now)
+		}
+		for _, to := range f[2:] {
+			s.deliver(t, td, to, facts)
+		}
+	case "expires":
+		s.report(name, q.Expire(s.now))
+	default:
+		td.Fatalf(t, "unknown command %q", line)
+	}
+}
+
+func (s *script) deliver(t *testing.T, td *datadriven.TestData, to string, facts []Fact) {
+	messages, err := Encode(facts, nil, 1400)
+	if err != nil {
+		td.Fatalf(t, "%v", err)
+	}
+	for _, m := range messages {
+		decoded, err := Decode(m)
+		if err != nil {
+			td.Fatalf(t, "%v", err)
+		}
+		s.report(to, s.router(to).Merge(s.now, decoded))
+	}
+}
+
+// TestDecisions runs the scripts in testdata. They guard against parts that crash one
+// upstream after the other, and against refusing requests without such a part.
+func TestDecisions(t *testing.T) {
+	datadriven.Walk(t, "testdata/decisions", func(t *testing.T, path string) {
+		s := &script{routers: map[string]*Quarantine{}, began: map[string]clock.Instant{}, now: clock.Instant(time.Hour)}
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			s.output.Reset()
+			for line := range strings.Lines(td.Input) {
+				s.run(t, td, line)
+			}
+			return s.output.String()
+		})
+	})
+}
+
+// TestBounds guards against state that grows with what callers and peers send.
+func TestBounds(t *testing.T) {
+	q := New()
+	now := clock.Instant(time.Hour)
+	for i := range 100_000 {
+		now = now.Add(time.Millisecond)
+		part := fmt.Sprint("part-", i)
+		q.RecordSuccess(now, now, NewParts("model", []string{part}))
+		if i%10 == 0 {
+			q.AddCrash(now, Crash(i), now, "u", [][]Part{NewParts("model", []string{part, "a", strings.Repeat("x", 1000)})})
+		}
+		if i%1000 == 0 {
+			q.Expire(now)
+		}
+	}
+	sightings := 0
+	for c := range maps.Values(q.crashes) {
+		sightings += len(c.sightings)
+	}
+	if len(q.crashes) > maxCrashes || sightings > maxCrashes*maxSightingsPerCrash || len(q.sound) > maxSound+maxCrashes*maxSightingsPerCrash*maxParts || len(q.news) > maxNews || len(q.entries) > maxEntries {
+		t.Errorf("crashes %d, sightings %d, sound %d, news %d, entries %d", len(q.crashes), sightings, len(q.sound), len(q.news), len(q.entries))
+	}
+	now = now.Add(2 * (evidenceTTL + probation + maxQuarantine))
+	q.Expire(now)
+	if n := len(q.crashes) + len(q.sound) + len(q.told) + len(q.entries) + len(q.accused); n > 0 {
+		t.Errorf("%d records left long after the last crash", n)
+	}
+}
+
+// TestInvalidFacts guards against facts of a peer that would take memory without
+// bound or a quarantine without end.
+func TestInvalidFacts(t *testing.T) {
+	for _, message := range []string{
+		`{"t":"quarantine","p":[],"a":1}`,
+		`{"t":"quarantine","p":[""],"a":1}`,
+		`{"t":"quarantine","p":["` + strings.Repeat("x", maxPartBytes+1) + `"],"a":1}`,
+		`{"t":"quarantine","p":["x"],"a":1,"l":86400000}`,
+		`{"t":"quarantine","p":["x"],"a":1,"l":-86400000}`,
+		`{"t":"quarantine","p":["x"],"a":1,"k":-1}`,
+		`{"t":"quarantine","p":["x"],"a":1,"k":1000000000}`,
+		`{"t":"crash","p":["x"],"a":-1,"c":"1"}`,
+		`{"t":"crash","p":["x"],"a":1e300,"c":"1"}`,
+		`{"t":"crash","p":["x"],"a":1,"c":"1","u":["` + strings.Repeat("u", maxUpstreamBytes+1) + `"]}`,
+		`{"t":"crash","p":["` + strings.Join(slices.Repeat([]string{"x"}, maxParts+1), `","`) + `"],"a":1,"c":"1"}`,
+		`{"t":"other","p":["x"],"a":1}`,
+		strings.Repeat("[", 1000),
+	} {
+		if facts, err := Decode([]byte(message)); err == nil {
+			t.Errorf("%.60s decoded as %v", message, facts)
+		}
+	}
+}
+
+// FuzzDecode guards against facts that end the process or are not the same after
+// another round.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"t":"crash","p":["x"],"a":1,"c":"1","u":["u"]}` + "\n" + `{"t":"sound","p":["x"],"a":1}` + "\n" + `{"t":"quarantine","p":["x"],"a":1,"f":2,"l":3,"n":3}`))
+	f.Fuzz(func(t *testing.T, message []byte) {
+		facts, err := Decode(message)
+		if err != nil {
+			return
+		}
+		q := New()
+		q.Merge(clock.Instant(time.Hour), facts)
+		for _, facts := range [][]Fact{q.TakeNews(clock.Instant(time.Hour)), q.Snapshot(clock.Instant(time.Hour))} {
+			messages, err := Encode(facts, nil, 1400)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range messages {
+				if _, err := Decode(m); err != nil {
+					t.Errorf("%s: %v", m, err)
+				}
+			}
+		}
+	})
+}
