Keep requests with parts that crash upstreams from reaching them

What callers saw: requests of one kind crashed one upstream after the other; a third of all requests were refused or failed while that went on.

Cause: routers judge upstreams only. What a crashed upstream was running is forgotten, so each request with the part is sent as if it were the first.

Change: hemlock-edge feeds the crashes that it sees to package quarantine, exchanges facts with its peers by datagrams (at once, passed on; quarantined sets again with each round of digests and to a peer that has just started), and refuses requests with quarantined parts at once with 503 and the time left, also before a repeat and right before sending. Log and metrics name the parts, the upstreams, and the age of the evidence.

--- a/internal/host/edge/crash.go
+++ b/internal/host/edge/crash.go
@@ -1,19 +1,33 @@
 package edge
 
 import (
+	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/crash"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/rendezvous"
+)
+
+const (
+	// factsInterval is the minimum time between two rounds of datagrams with facts.
+	factsInterval = 50 * time.Millisecond
+	// factsFanout is how many peers each round reaches. They pass on what is new to
+	// them, like changes of upstream registrations.
+	factsFanout = 8
 )
 
 // maxLoggedRequests limits the requests named in one log line.
 const maxLoggedRequests = 8
 
 // recordCrash logs the crash of an upstream with the requests of this router that were
-// in progress there, and the parts of their prompts.
+// in progress there, and takes the parts of their prompts as evidence.
 func (e *Edge) recordCrash(r crash.Report) {
 	e.counters.Add("upstream_crashes", 1)
 	requests := r.Requests()
@@ -25,4 +39,109 @@
 		"upstream": r.Upstream(), "service": r.Service(), "age_ms": clock.Since(r.At()).Milliseconds(),
 		"in_progress": len(requests), "requests": strings.Join(list, " "),
 	}).Warn("upstream crashed")
+	var parts [][]quarantine.Part
+	for _, q := range requests {
+		parts = append(parts, quarantine.NewParts(r.Service(), q.Parts))
+	}
+	e.logQuarantine(e.quarantine.AddCrash(clock.Now(), quarantine.Crash(r.Engine()), r.At(), r.Upstream(), parts))
+}
+
+// logQuarantine logs and counts changes of the quarantined sets of parts.
+func (e *Edge) logQuarantine(changes []quarantine.Change) {
+	now := clock.Now()
+	for _, c := range changes {
+		first, last := c.Entry.EvidenceAge(now)
+		e.counters.Add("quarantine_"+c.Kind, 1)
+		e.log.WithFields(logrus.Fields{
+			"parts": joinParts(c.Entry.Parts()), "change": c.Kind, "crashes": c.Entry.Crashes(), "upstreams": strings.Join(c.Entry.Upstreams(), " "),
+			"first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(), "left_ms": c.Entry.TimeLeft(now).Milliseconds(),
+			"failed_probes": c.Entry.Strikes(), "from_peer": c.FromPeer,
+		}).Warn("quarantine of prompt parts changed")
+	}
+}
+
+func joinParts(parts []quarantine.Part) string {
+	var b strings.Builder
+	for i, p := range parts {
+		if i > 0 {
+			b.WriteByte('+')
+		}
+		b.WriteString(string(p))
+	}
+	return b.String()
+}
+
+// quarantineState returns the quarantined sets for the metrics.
+func (e *Edge) quarantineState() any {
+	now := clock.Now()
+	list := []map[string]any{}
+	for _, entry := range e.quarantine.Entries() {
+		first, last := entry.EvidenceAge(now)
+		list = append(list, map[string]any{
+			"parts": joinParts(entry.Parts()), "crashes": entry.Crashes(), "upstreams": entry.Upstreams(), "failed_probes": entry.Strikes(),
+			"first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(), "left_ms": entry.TimeLeft(now).Milliseconds(),
+		})
+	}
+	return list
+}
+
+// mayProbe reports whether this router is the one that probes a quarantined set.
+func (e *Edge) mayProbe(key string) bool {
+	return rendezvous.First(rendezvous.Key(key), e.gossipState.LiveRouters(clock.Now())) == e.settings.Name()
+}
+
+// spreadFacts sends new facts on prompt parts and crashes to some peers.
+func (e *Edge) spreadFacts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.quarantine.Wake():
+		}
+		now := clock.Now()
+		e.sendFacts(e.quarantine.TakeNews(now), e.gossipState.SampleAddresses(now, factsFanout))
+		clock.Sleep(ctx, factsInterval)
+	}
+	return ctx.Err()
+}
+
+func (e *Edge) sendFacts(facts []quarantine.Fact, addresses []string) {
+	if len(facts) == 0 {
+		return
+	}
+	datagrams, err := gossip.EncodeFacts(facts)
+	if err != nil {
+		e.log.WithError(err).Warn("cannot encode facts on prompt parts for gossip")
+		return
+	}
+	for _, address := range addresses {
+		for _, content := range datagrams {
+			e.send(address, content)
+		}
+	}
+}
+
+// sendSnapshot sends the quarantined sets to the peers of a round of digests, which
+// may have missed them.
+func (e *Edge) sendSnapshot(now clock.Instant, round []gossip.Datagram) {
+	snapshot := e.quarantine.Snapshot(now)
+	if len(snapshot) == 0 {
+		return
+	}
+	var addresses []string
+	for _, d := range round {
+		addresses = append(addresses, d.Address())
+	}
+	slices.Sort(addresses)
+	e.sendFacts(snapshot, slices.Compact(addresses))
+}
+
+// receiveFacts adds the facts in a datagram of a peer.
+func (e *Edge) receiveFacts(now clock.Instant, content []byte) {
+	facts, err := gossip.DecodeFacts(content)
+	if err != nil {
+		e.counters.Add("facts_malformed", 1)
+		return
+	}
+	e.logQuarantine(e.quarantine.Merge(now, facts))
 }
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/forward"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/rpc"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
 )
@@ -70,6 +71,7 @@
 	health               *balance.Health
 	coldStart            *budget.ColdStart
 	prefixIndex          *prefix.Index
+	quarantine           *quarantine.Quarantine
 	pools                *http1.Pools
 	metrics              *admin.Metrics
 	counters             *expvar.Map
@@ -103,6 +105,7 @@
 		gossipState:          gossip.New(s.Name(), uint64(time.Now().UnixNano())),
 		health:               balance.NewHealth(),
 		prefixIndex:          prefix.New(s.ReuseWindow()),
+		quarantine:           quarantine.New(),
 		pools:                http1.NewPools(),
 		metrics:              admin.NewMetrics(),
 		counters:             new(expvar.Map).Init(),
@@ -116,9 +119,10 @@
 	e.coldStart = budget.NewColdStart(s.Name(), factor, slack)
 	e.gateway = forward.New(forward.Dependencies{
 		Protocol: protocol, ActiveConfig: e.activeConfig, Directory: e.directory, Gossip: e.gossipState, Health: e.health,
-		Balancer: balance.New(s.LoadFactor()), RetryBudget: budget.NewRetry(s.Retries()), ColdStart: e.coldStart, Pools: e.pools, PrefixIndex: e.prefixIndex, Crashes: crash.NewDetector(),
+		Balancer: balance.New(s.LoadFactor()), RetryBudget: budget.NewRetry(s.Retries()), ColdStart: e.coldStart, Pools: e.pools, PrefixIndex: e.prefixIndex, Crashes: crash.NewDetector(), Quarantine: e.quarantine,
 		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain(), Regions: s.Regions(),
 		StartupGate: e.startupGate, ReportOverload: e.announceOverload, ReportCrash: e.recordCrash,
+		ReportQuarantine: e.logQuarantine, MayProbe: e.mayProbe,
 		ShutdownTimeLeft: func() (time.Duration, bool) { return e.server.ShutdownTimeLeft() },
 	})
 	e.server = httpserver.New(e.gateway, e.idleTimeout)
@@ -145,6 +149,7 @@
 	g.Go("peers", e.maintainRegistration)
 	g.Go("receive digests", e.receiveDatagrams)
 	g.Go("send digests", e.sendDigests)
+	g.Go("spread facts", e.spreadFacts)
 	g.Go("housekeeping", e.housekeeping)
 	g.Go("relay", e.httpServerTask(e.settings.PeersAddress(), rpc.NewRelayServer(e.relay)))
 	g.Go("readiness", e.httpServerTask(e.settings.ReadinessAddress(), http.HandlerFunc(e.serveReadiness)))
@@ -191,6 +196,8 @@
 	m.Set("invalid_entries", expvar.Func(func() any { return e.store.InvalidEntries() }))
 	m.Set("store_bytes", expvar.Func(func() any { return e.store.ReceivedBytes() }))
 	m.Set("upstream_connections", expvar.Func(func() any { return e.pools.Dials() }))
+	m.Set("quarantine", expvar.Func(e.quarantineState))
+	m.Set("quarantine_refusals", expvar.Func(func() any { return e.gateway.QuarantineRefusals() }))
 	m.Set("routers", expvar.Func(func() any { return len(e.gossipState.LiveRouters(clock.Now())) }))
 	m.Set("config_age_ms", expvar.Func(func() any { return e.activeConfig.Age(clock.Now()).Milliseconds() }))
 	w.Header().Set("Content-Type", "application/json")
@@ -230,6 +237,7 @@
 		e.pools.Retain(now, ids)
 		e.health.Retain(now, ids)
 		e.coldStart.Retain(ids)
+		e.logQuarantine(e.quarantine.Expire(now))
 	}
 	return ctx.Err()
 }
@@ -238,6 +246,7 @@
 func (e *Edge) logSummary(now clock.Instant) {
 	f := logrus.Fields{"routers": len(e.gossipState.LiveRouters(now)), "dials": e.pools.Dials()}
 	e.counters.Do(func(v expvar.KeyValue) { f[v.Key] = v.Value.String() })
+	f["quarantine_refusals"] = e.gateway.QuarantineRefusals()
 	f["store_bytes"], f["invalid_entries"] = e.store.ReceivedBytes(), e.store.InvalidEntries()
 	for path, n := range e.store.CallCounts() {
 		f["calls "+path] = n
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -157,12 +157,19 @@
 			e.gossipState.ApplyOverloadNotice(now, buffer[:n])
 			continue
 		}
+		if gossip.IsFacts(buffer[:n]) {
+			e.receiveFacts(now, buffer[:n])
+			continue
+		}
 		message, err := e.gossipState.Receive(now, from.String(), buffer[:n])
 		if err != nil {
 			e.counters.Add("digests_malformed", 1)
 			continue
 		}
 		e.applyMessage(now, from.String(), message)
+		if message.Introduced() {
+			e.sendFacts(e.quarantine.Snapshot(now), []string{from.String()})
+		}
 		if reply, ok := e.gossipState.Reply(now, message.ReplyTo()); ok {
 			e.send(reply.Address(), reply.Content())
 		}
@@ -219,6 +226,7 @@
 		now := clock.Now()
 		e.gossipState.QueueOutcomes(e.health.TakeOutcomes())
 		datagrams := e.gossipState.NextRound(now)
+		e.sendSnapshot(now, datagrams)
 		names, others := e.peersToQuery(now)
 		datagrams = append(datagrams, e.gossipState.Queries(now, names, others)...)
 		for _, d := range datagrams {
--- a/internal/router/forward/admit.go
+++ b/internal/router/forward/admit.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/caller/httpapi"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 )
 
 // admit checks a request against the configuration and reads its body. If the
@@ -46,7 +47,7 @@
 		return false
 	}
 	j.pickService()
-	return true
+	return j.checkQuarantine()
 }
 
 // authorize looks up the workspace of the API key. It sends an error response
@@ -136,4 +137,5 @@
 	name := j.route.Service(key)
 	j.service = j.config.Service(name)
 	j.serviceName = name
+	j.parts = quarantine.NewParts(name, j.info.Parts)
 }
--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -59,6 +59,9 @@
 	if j.remaining() < minRemaining {
 		return verdict.New(verdict.NotRun, errDeadlineExceeded)
 	}
+	if err := j.quarantined(clock.Now()); err != nil {
+		return verdict.New(verdict.NotRun, err)
+	}
 	u, err := j.pickUpstream()
 	if err != nil {
 		return err
@@ -114,7 +117,7 @@
 	case !j.Directory.Receives(u):
 		return errNotReceiving
 	}
-	return nil
+	return j.quarantined(now)
 }
 
 // buildRequest returns the request that is sent to the upstream.
@@ -242,6 +245,9 @@
 	if res.Status() < 500 {
 		j.Health.RecordSuccess(clock.Now(), u.ID())
 	}
+	if res.Status() < 300 {
+		j.recordSound(res, clock.Now())
+	}
 }
 
 // relayRemainder relays a long response, starting with the part that has been
@@ -294,6 +300,7 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			j.Health.RecordSuccess(clock.Now(), u.ID())
+			j.recordSound(res, j.attemptBegan)
 			j.writeStreamHeader(res)
 			return nil
 		}
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
 )
 
@@ -31,6 +33,7 @@
 	Pools        *http1.Pools
 	PrefixIndex  *prefix.Index
 	Crashes      *crash.Detector
+	Quarantine   *quarantine.Quarantine
 	Observer     admission.Observer
 	Log          logrus.FieldLogger
 	// StartupGate delays requests until the router has a configuration and a
@@ -39,6 +42,10 @@
 	// ReportCrash is called when requests of this router were in progress at an
 	// upstream that crashed.
 	ReportCrash func(r crash.Report)
+	// ReportQuarantine is called when the quarantined sets of parts change.
+	ReportQuarantine func(changes []quarantine.Change)
+	// MayProbe reports whether this router is the one that probes a quarantined set.
+	MayProbe func(key string) bool
 	// ReportOverload is called when an upstream reports a load above the bound
 	// by which it was picked.
 	ReportOverload func(upstream uint64)
@@ -56,6 +63,8 @@
 	Dependencies
 	loads       *serviceLoadCache
 	multiRegion bool
+	// quarantineRefusals counts the requests refused because of quarantined parts.
+	quarantineRefusals atomic.Int64
 }
 
 // New returns a gateway with the given dependencies.
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/admission"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/route"
 )
 
@@ -53,7 +54,9 @@
 	workspace   *route.Workspace
 	service     *route.Service
 	serviceName string
-	body        []byte
+	// parts are the shared parts of the prompt.
+	parts []quarantine.Part
+	body  []byte
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -113,7 +116,7 @@
 	switch {
 	case j.request.Context().Err() != nil:
 		reason = "caller left"
-	case errors.Is(err, errNoUpstream) || errors.Is(err, errDeadlineExceeded) || errors.Is(err, errCallerLeft):
+	case errors.Is(err, errNoUpstream) || errors.Is(err, errDeadlineExceeded) || errors.Is(err, errCallerLeft) || isQuarantined(err):
 		reason = "final"
 	case j.remaining() < minRemaining:
 		reason = "no time"
@@ -193,6 +196,10 @@
 }
 
 func retryAfter(err error) time.Duration {
+	var quarantined *quarantineError
+	if errors.As(err, &quarantined) {
+		return quarantined.retryAfter
+	}
 	var v *verdict.Error
 	if errors.As(err, &v) && v.RetryAfter() > 0 {
 		return v.RetryAfter()
--- /dev/null
+++ b/internal/router/forward/quarantine.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
+)
+
+// quarantineError means that parts of the prompt are quarantined.
+type quarantineError struct {
+	parts      string
+	crashes    int
+	retryAfter time.Duration
+}
+
+func (e *quarantineError) Error() string {
+	return fmt.Sprintf("upstreams crash on this part of the prompt: %s (%d crashes)", e.parts, e.crashes)
+}
+
+func isQuarantined(err error) bool {
+	var e *quarantineError
+	return errors.As(err, &e)
+}
+
+// QuarantineRefusals returns the number of requests refused so far because of
+// quarantined parts.
+func (g *Gateway) QuarantineRefusals() int64 { return g.quarantineRefusals.Load() }
+
+// checkQuarantine refuses a request with quarantined parts and returns false. No
+// other router could serve it either.
+func (j *job) checkQuarantine() bool {
+	now := clock.Now()
+	e, found := j.Quarantine.Check(now, j.parts, j.MayProbe)
+	if !found {
+		return true
+	}
+	err := j.quarantineError(now, e)
+	j.refuse(err.Error(), err.retryAfter)
+	return false
+}
+
+// quarantined returns an error if parts of the prompt were quarantined since the
+// request was admitted.
+func (j *job) quarantined(now clock.Instant) error {
+	if e, found := j.Quarantine.Forbids(now, j.parts); found {
+		return j.quarantineError(now, e)
+	}
+	return nil
+}
+
+// quarantineError counts and logs a request that is kept from the upstreams.
+func (j *job) quarantineError(now clock.Instant, e quarantine.Entry) *quarantineError {
+	j.quarantineRefusals.Add(1)
+	var names []string
+	for _, p := range e.Parts() {
+		names = append(names, p.Name())
+	}
+	first, last := e.EvidenceAge(now)
+	j.log().WithFields(logrus.Fields{
+		"parts": strings.Join(names, "+"), "crashes": e.Crashes(), "first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(),
+		"upstreams": strings.Join(e.Upstreams(), " "), "left_ms": e.TimeLeft(now).Milliseconds(), "service": j.serviceName,
+	}).Info("request has quarantined parts")
+	return &quarantineError{parts: strings.Join(names, "+"), crashes: e.Crashes(), retryAfter: e.RetryAfter(now)}
+}
+
+// recordSound records that the response to the current attempt began at a time and
+// is complete. The end of a body that is not delimited may hide a crash.
+func (j *job) recordSound(res *http1.Response, began clock.Instant) {
+	if len(j.parts) == 0 || began == 0 || !res.Delimited() {
+		return
+	}
+	if changes := j.Quarantine.RecordSuccess(clock.Now(), began, j.parts); len(changes) > 0 {
+		j.ReportQuarantine(changes)
+	}
+}
--- a/internal/router/gossip/datagram.go
+++ b/internal/router/gossip/datagram.go
@@ -191,12 +191,16 @@
 	locations     []prefix.Location
 	outcomes      []balance.Outcomes
 	replyTo       string
+	introduced    bool
 }
 
 // ReplyTo returns the name of the peer that wants an immediate reply, or an empty
 // string.
 func (m Message) ReplyTo() string { return m.replyTo }
 
+// Introduced reports whether this is the first datagram of the peer since it started.
+func (m Message) Introduced() bool { return m.introduced }
+
 // Outcomes returns the outcomes of requests that the peer observed.
 func (m Message) Outcomes() []balance.Outcomes { return m.outcomes }
 
@@ -258,6 +262,7 @@
 	if p == nil || boot < p.bootID && p.heardWithin(now, maxDatagramDelay) || boot == p.bootID && sequence <= p.sequence {
 		return Message{}, nil
 	}
+	m.introduced = p.bootID != boot
 	p.address = from
 	p.bootID, p.sequence, p.lastHeard, p.sentAt = boot, sequence, now, sentAt
 	g.setPeerLoads(p, loads)
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -63,6 +63,8 @@
 	pool      *Pool
 	conn      *conn
 	keepAlive bool
+	// delimited is set if the body has a length or chunks.
+	delimited bool
 	bodyRead  bool
 	// writeErr receives the result of writing the request.
 	writeErr chan error
@@ -78,6 +80,10 @@
 // Header returns the header including hop-by-hop fields.
 func (r *Response) Header() http.Header { return r.header }
 
+// Delimited reports whether the body has a length or chunks. The end of the
+// connection ends any other one, whether it is complete or not.
+func (r *Response) Delimited() bool { return r.delimited }
+
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
@@ -193,6 +199,7 @@
 			return &Response{
 				status: resp.StatusCode, header: resp.Header, body: resp.Body,
 				conn: c, keepAlive: !resp.Close && c.idleTimeout > 0, writeErr: writeErr,
+				delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 			}, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBodyBytes))
