Count each crash once in the evidence against parts

Cause: a crash counted again for a quarantined set when a second router reported a request with it; the log showed 5 crashes where 4 upstreams ended.

Change: the count is taken from the crashes themselves.

--- a/internal/router/quarantine/decide.go
+++ b/internal/router/quarantine/decide.go
@@ -169,17 +169,10 @@
 	return e
 }
 
-// recordCrashOf counts a crash during which a request with all parts of an entry was
-// in progress, and reports whether that request was a probe.
-func (e *Entry) recordCrashOf(at clock.Instant, now clock.Instant) bool {
-	e.crashes++
-	e.lastAt = max(e.lastAt, at)
-	if at < e.until {
-		return false
-	}
+// extend starts the next time of quarantine after a probe that crashed an upstream.
+func (e *Entry) extend(now clock.Instant) {
 	e.strikes++
 	e.until = now.Add(quarantineTime(e.strikes))
-	return true
 }
 
 // quarantineTime returns the time until the next probe after a number of probes that
--- a/internal/router/quarantine/evidence.go
+++ b/internal/router/quarantine/evidence.go
@@ -37,13 +37,18 @@
 	if c.sightings[key] != nil || len(c.sightings) >= maxSightingsPerCrash {
 		return nil
 	}
+	c.sightings[key], q.changed = parts, true
 	var changes []Change
 	for _, e := range q.entries {
-		if containsAll(parts, e.parts) && !c.shows(e.parts) && e.recordCrashOf(c.at, now) {
+		if !containsAll(parts, e.parts) {
+			continue
+		}
+		e.crashes, e.lastAt = max(e.crashes, q.countCrashes(e.parts)), max(e.lastAt, c.at)
+		if c.at >= e.until {
+			e.extend(now)
 			changes = append(changes, Change{Kind: Extended, Entry: *e})
 		}
 	}
-	c.sightings[key], q.changed = parts, true
 	q.tell(news{kind: crashNews, crash: id, key: key})
 	for _, p := range parts {
 		if q.soundAt(p, c.at) {
@@ -53,14 +58,19 @@
 	return changes
 }
 
-// shows reports whether a request with all parts of a set was in progress.
-func (c *crash) shows(set []Part) bool {
-	for _, parts := range c.sightings {
-		if containsAll(parts, set) {
-			return true
+// countCrashes returns the number of crashes at which a request with all parts of a
+// set was in progress.
+func (q *Quarantine) countCrashes(set []Part) int {
+	n := 0
+	for _, c := range q.crashes {
+		for _, parts := range c.sightings {
+			if containsAll(parts, set) {
+				n++
+				break
+			}
 		}
 	}
-	return false
+	return n
 }
 
 func (q *Quarantine) dropOldestCrash() {
