Wait for the reports of all routers before a part is quarantined

Cause: the third crash was reported with a sound request first, by a router that noticed earlier; the request with the deadly part was reported a moment later. At that moment the sound part alone had three crashes that nothing explained. A router that left out parts it knew as sound also kept others from seeing that a set explains a crash.

Change: a crash counts 250 ms after it happened, and the evidence that is due is judged when the next request asks. Reports name all parts of a request.

--- a/internal/host/edge/crash.go
+++ b/internal/host/edge/crash.go
@@ -43,12 +43,11 @@
 	for _, q := range requests {
 		parts = append(parts, quarantine.NewParts(r.Service(), q.Parts))
 	}
-	e.logQuarantine(e.quarantine.AddCrash(clock.Now(), quarantine.Crash(r.Engine()), r.At(), r.Upstream(), parts))
+	e.quarantine.AddCrash(clock.Now(), quarantine.Crash(r.Engine()), r.At(), r.Upstream(), parts)
 }
 
 // logQuarantine logs and counts changes of the quarantined sets of parts.
-func (e *Edge) logQuarantine(changes []quarantine.Change) {
-	now := clock.Now()
+func (e *Edge) logQuarantine(now clock.Instant, changes []quarantine.Change) {
 	for _, c := range changes {
 		first, last := c.Entry.EvidenceAge(now)
 		e.counters.Add("quarantine_"+c.Kind, 1)
@@ -90,7 +89,8 @@
 	return rendezvous.First(rendezvous.Key(key), e.gossipState.LiveRouters(clock.Now())) == e.settings.Name()
 }
 
-// spreadFacts sends new facts on prompt parts and crashes to some peers.
+// spreadFacts sends new facts on prompt parts and crashes to some peers, and logs the
+// changes of the quarantined sets.
 func (e *Edge) spreadFacts(ctx context.Context) error {
 	for ctx.Err() == nil {
 		select {
@@ -99,6 +99,7 @@
 		case <-e.quarantine.Wake():
 		}
 		now := clock.Now()
+		e.logQuarantine(now, e.quarantine.TakeChanges())
 		e.sendFacts(e.quarantine.TakeNews(now), e.gossipState.SampleAddresses(now, factsFanout))
 		clock.Sleep(ctx, factsInterval)
 	}
@@ -143,5 +144,5 @@
 		e.counters.Add("facts_malformed", 1)
 		return
 	}
-	e.logQuarantine(e.quarantine.Merge(now, facts))
+	e.quarantine.Merge(now, facts)
 }
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -122,7 +122,7 @@
 		Balancer: balance.New(s.LoadFactor()), RetryBudget: budget.NewRetry(s.Retries()), ColdStart: e.coldStart, Pools: e.pools, PrefixIndex: e.prefixIndex, Crashes: crash.NewDetector(), Quarantine: e.quarantine,
 		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain(), Regions: s.Regions(),
 		StartupGate: e.startupGate, ReportOverload: e.announceOverload, ReportCrash: e.recordCrash,
-		ReportQuarantine: e.logQuarantine, MayProbe: e.mayProbe,
+		MayProbe:         e.mayProbe,
 		ShutdownTimeLeft: func() (time.Duration, bool) { return e.server.ShutdownTimeLeft() },
 	})
 	e.server = httpserver.New(e.gateway, e.idleTimeout)
@@ -237,7 +237,7 @@
 		e.pools.Retain(now, ids)
 		e.health.Retain(now, ids)
 		e.coldStart.Retain(ids)
-		e.logQuarantine(e.quarantine.Expire(now))
+		e.quarantine.Expire(now)
 	}
 	return ctx.Err()
 }
--- a/internal/router/forward/gateway.go
+++ b/internal/router/forward/gateway.go
@@ -42,8 +42,6 @@
 	// ReportCrash is called when requests of this router were in progress at an
 	// upstream that crashed.
 	ReportCrash func(r crash.Report)
-	// ReportQuarantine is called when the quarantined sets of parts change.
-	ReportQuarantine func(changes []quarantine.Change)
 	// MayProbe reports whether this router is the one that probes a quarantined set.
 	MayProbe func(key string) bool
 	// ReportOverload is called when an upstream reports a load above the bound
--- a/internal/router/forward/quarantine.go
+++ b/internal/router/forward/quarantine.go
@@ -76,7 +76,5 @@
 	if len(j.parts) == 0 || began == 0 || !res.Delimited() {
 		return
 	}
-	if changes := j.Quarantine.RecordSuccess(clock.Now(), began, j.parts); len(changes) > 0 {
-		j.ReportQuarantine(changes)
-	}
+	j.Quarantine.RecordSuccess(clock.Now(), began, j.parts)
 }
--- a/internal/router/quarantine/decide.go
+++ b/internal/router/quarantine/decide.go
@@ -35,19 +35,18 @@
 func (s *suspicion) specific(lastSuccess clock.Instant) bool { return lastSuccess > s.first }
 
 // reconsider brings the quarantined sets in line with the evidence, if that has
-// changed, and returns what changes.
-func (q *Quarantine) reconsider(now clock.Instant) []Change {
-	if !q.changed {
-		return nil
+// changed.
+func (q *Quarantine) reconsider(now clock.Instant) {
+	if !q.changed && (q.matureAt == 0 || now < q.matureAt) {
+		return
 	}
-	q.changed = false
-	sightings := q.sightings()
-	changes := q.narrow()
+	q.changed, q.awaitsSuccess = false, false
+	sightings := q.sightings(now)
+	q.narrow()
 	explained := map[Crash]bool{}
 	for _, e := range q.entries {
-		markExplained(explained, sightings, e.parts)
+		q.markExplained(explained, e.parts)
 	}
-	q.awaitsSuccess = false
 	for len(q.entries) < maxEntries {
 		s := strongest(sightings, explained)
 		if s == nil {
@@ -60,13 +59,22 @@
 		e := newEntry(now, s)
 		q.entries[setKey(e.parts)] = e
 		q.tell(news{kind: entryNews, key: setKey(e.parts)})
-		changes = append(changes, Change{Kind: Quarantined, Entry: *e})
-		markExplained(explained, sightings, e.parts)
+		q.report(Change{Kind: Quarantined, Entry: *e})
+		q.markExplained(explained, e.parts)
 	}
+	q.updateAccused()
+}
+
+// updateAccused determines the parts against which there is evidence.
+func (q *Quarantine) updateAccused() {
 	clear(q.accused)
-	for _, s := range sightings {
-		for _, p := range s.parts {
-			q.accused[p] = true
+	for _, c := range q.crashes {
+		for _, parts := range c.sightings {
+			for _, p := range parts {
+				if !q.soundAt(p, c.at) {
+					q.accused[p] = true
+				}
+			}
 		}
 	}
 	for _, e := range q.entries {
@@ -74,15 +82,21 @@
 			q.accused[p] = true
 		}
 	}
-	return changes
 }
 
 // sightings returns the requests that were in progress at crashes and have parts
-// that are not known to be sound.
-func (q *Quarantine) sightings() []sighting {
+// that are not known to be sound, and sets when the next crash counts.
+func (q *Quarantine) sightings(now clock.Instant) []sighting {
+	q.matureAt = 0
 	var list []sighting
 	for _, id := range slices.Sorted(maps.Keys(q.crashes)) {
 		c := q.crashes[id]
+		if now.Sub(c.at) < evidenceDelay {
+			if at := c.at.Add(evidenceDelay); q.matureAt == 0 || at < q.matureAt {
+				q.matureAt = at
+			}
+			continue
+		}
 		for _, key := range slices.Sorted(maps.Keys(c.sightings)) {
 			parts := slices.DeleteFunc(slices.Clone(c.sightings[key]), func(p Part) bool { return q.soundAt(p, c.at) })
 			if len(parts) > 0 {
@@ -94,8 +108,7 @@
 }
 
 // narrow removes the parts that are sound from the quarantined sets.
-func (q *Quarantine) narrow() []Change {
-	var changes []Change
+func (q *Quarantine) narrow() {
 	for _, key := range slices.Sorted(maps.Keys(q.entries)) {
 		e := q.entries[key]
 		parts := slices.DeleteFunc(slices.Clone(e.parts), func(p Part) bool { return q.soundAt(p, e.lastAt) })
@@ -104,24 +117,23 @@
 		}
 		delete(q.entries, key)
 		if len(parts) == 0 {
-			changes = append(changes, Change{Kind: Released, Entry: *e})
+			q.report(Change{Kind: Released, Entry: *e})
 			continue
 		}
 		e.parts = parts
 		if q.entries[setKey(parts)] == nil {
 			q.entries[setKey(parts)] = e
-			changes = append(changes, Change{Kind: Narrowed, Entry: *e})
+			q.report(Change{Kind: Narrowed, Entry: *e})
 		}
 	}
-	return changes
 }
 
 // markExplained marks the crashes at which a request with all parts of a set was in
 // progress.
-func markExplained(explained map[Crash]bool, sightings []sighting, set []Part) {
-	for _, s := range sightings {
-		if containsAll(s.parts, set) {
-			explained[s.id] = true
+func (q *Quarantine) markExplained(explained map[Crash]bool, set []Part) {
+	for id, c := range q.crashes {
+		if c.shows(set) {
+			explained[id] = true
 		}
 	}
 }
--- a/internal/router/quarantine/evidence.go
+++ b/internal/router/quarantine/evidence.go
@@ -1,29 +1,25 @@
 package quarantine
 
 import (
-	"slices"
-
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 )
 
 // AddCrash adds the requests of this router that were in progress when an
-// incarnation of an upstream ended, given by their parts, and returns what changes.
-func (q *Quarantine) AddCrash(now clock.Instant, id Crash, at clock.Instant, upstream string, requests [][]Part) []Change {
+// incarnation of an upstream ended, given by their parts.
+func (q *Quarantine) AddCrash(now clock.Instant, id Crash, at clock.Instant, upstream string, requests [][]Part) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var changes []Change
 	for _, parts := range requests {
-		suspects := slices.DeleteFunc(normalize(parts), func(p Part) bool { return q.soundAt(p, at) })
-		changes = append(changes, q.addSighting(now, id, at, upstream, suspects)...)
+		q.addSighting(now, id, at, upstream, normalize(parts))
 	}
-	return append(changes, q.reconsider(now)...)
+	q.reconsider(now)
 }
 
 // addSighting adds a request that was in progress at a crash. Nothing happens if it
 // is known already.
-func (q *Quarantine) addSighting(now clock.Instant, id Crash, at clock.Instant, upstream string, parts []Part) []Change {
-	if len(parts) == 0 {
-		return nil
+func (q *Quarantine) addSighting(now clock.Instant, id Crash, at clock.Instant, upstream string, parts []Part) {
+	if !q.accuses(parts, at) {
+		return
 	}
 	c := q.crashes[id]
 	if c == nil {
@@ -35,10 +31,9 @@
 	}
 	key := setKey(parts)
 	if c.sightings[key] != nil || len(c.sightings) >= maxSightingsPerCrash {
-		return nil
+		return
 	}
 	c.sightings[key], q.changed = parts, true
-	var changes []Change
 	for _, e := range q.entries {
 		if !containsAll(parts, e.parts) {
 			continue
@@ -46,7 +41,7 @@
 		e.crashes, e.lastAt = max(e.crashes, q.countCrashes(e.parts)), max(e.lastAt, c.at)
 		if c.at >= e.until {
 			e.extend(now)
-			changes = append(changes, Change{Kind: Extended, Entry: *e})
+			q.report(Change{Kind: Extended, Entry: *e})
 		}
 	}
 	q.tell(news{kind: crashNews, crash: id, key: key})
@@ -55,7 +50,30 @@
 			q.tellSound(p)
 		}
 	}
-	return changes
+}
+
+// accuses reports whether a request that was in progress at a crash has a part that
+// is not known to be sound. If not, it tells peers so.
+func (q *Quarantine) accuses(parts []Part, at clock.Instant) bool {
+	for _, p := range parts {
+		if !q.soundAt(p, at) {
+			return true
+		}
+	}
+	for _, p := range parts {
+		q.tellSound(p)
+	}
+	return false
+}
+
+// shows reports whether a request with all parts of a set was in progress.
+func (c *crash) shows(set []Part) bool {
+	for _, parts := range c.sightings {
+		if containsAll(parts, set) {
+			return true
+		}
+	}
+	return false
 }
 
 // countCrashes returns the number of crashes at which a request with all parts of a
@@ -63,11 +81,8 @@
 func (q *Quarantine) countCrashes(set []Part) int {
 	n := 0
 	for _, c := range q.crashes {
-		for _, parts := range c.sightings {
-			if containsAll(parts, set) {
-				n++
-				break
-			}
+		if c.shows(set) {
+			n++
 		}
 	}
 	return n
--- a/internal/router/quarantine/fact.go
+++ b/internal/router/quarantine/fact.go
@@ -135,10 +135,7 @@
 	if len(q.news) < maxNews {
 		q.news = append(q.news, n)
 	}
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
+	q.notify()
 }
 
 // tellSound queues that a part is sound, unless peers know it as of about the same
@@ -152,9 +149,6 @@
 	q.tell(news{kind: soundNews, part: p})
 }
 
-// Wake returns a channel that receives a value when there are facts for peers.
-func (q *Quarantine) Wake() <-chan struct{} { return q.wake }
-
 // TakeNews returns the facts that peers should be told and have not been since the
 // last call.
 func (q *Quarantine) TakeNews(now clock.Instant) []Fact {
@@ -214,26 +208,24 @@
 
 func age(now, at clock.Instant) int64 { return max(0, now.Sub(at).Milliseconds()) }
 
-// Merge adds the facts of a peer and returns what changes. Facts that are new are
-// passed on.
-func (q *Quarantine) Merge(now clock.Instant, facts []Fact) []Change {
+// Merge adds the facts of a peer. Facts that are new are passed on.
+func (q *Quarantine) Merge(now clock.Instant, facts []Fact) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var changes []Change
 	for _, f := range facts {
 		at := now.Add(-time.Duration(f.AgeMS) * time.Millisecond)
 		switch f.Kind {
 		case crashNews:
 			if now.Sub(at) <= evidenceTTL {
-				changes = append(changes, q.addSighting(now, f.Crash, at, f.upstream(), normalize(f.Parts))...)
+				q.addSighting(now, f.Crash, at, f.upstream(), normalize(f.Parts))
 			}
 		case soundNews:
 			q.mergeSound(at, f.Parts)
 		case entryNews:
-			changes = append(changes, q.mergeEntry(now, f)...)
+			q.mergeEntry(now, f)
 		}
 	}
-	return append(changes, q.reconsider(now)...)
+	q.reconsider(now)
 }
 
 func (f Fact) upstream() string {
@@ -254,7 +246,7 @@
 }
 
 // mergeEntry adopts a quarantined set, or what a peer knows more of it.
-func (q *Quarantine) mergeEntry(now clock.Instant, f Fact) []Change {
+func (q *Quarantine) mergeEntry(now clock.Instant, f Fact) {
 	lastAt := now.Add(-time.Duration(f.AgeMS) * time.Millisecond)
 	parts := normalize(f.Parts)
 	sound := slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return !q.soundAt(p, lastAt) })
@@ -262,7 +254,7 @@
 		q.tellSound(p)
 	}
 	if parts = slices.DeleteFunc(parts, func(p Part) bool { return slices.Contains(sound, p) }); len(parts) == 0 {
-		return nil
+		return
 	}
 	key := setKey(parts)
 	until := now.Add(time.Duration(f.LeftMS) * time.Millisecond)
@@ -271,12 +263,12 @@
 		if f.Strikes > e.strikes {
 			e.strikes, e.until = f.Strikes, max(e.until, until)
 			q.tell(news{kind: entryNews, key: key})
-			return []Change{{Kind: Extended, Entry: *e, FromPeer: true}}
+			q.report(Change{Kind: Extended, Entry: *e, FromPeer: true})
 		}
-		return nil
+		return
 	}
 	if len(q.entries) >= maxEntries || now.Sub(until) > probation || q.covers(parts) {
-		return nil
+		return
 	}
 	e := &Entry{
 		parts: parts, crashes: f.Crashes, upstreams: f.Upstreams, firstAt: now.Add(-time.Duration(f.FirstAgeMS) * time.Millisecond),
@@ -284,7 +276,7 @@
 	}
 	q.entries[key], q.changed = e, true
 	q.tell(news{kind: entryNews, key: key})
-	return []Change{{Kind: Quarantined, Entry: *e, FromPeer: true}}
+	q.report(Change{Kind: Quarantined, Entry: *e, FromPeer: true})
 }
 
 // covers reports whether every request with the given parts is refused already.
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -15,6 +15,9 @@
 	// minSpan is the time that these crashes must span. Peers need it to report a
 	// part as sound when many upstreams crash at once for another reason.
 	minSpan = 300 * time.Millisecond
+	// evidenceDelay is the time after a crash from which it counts. Until then other
+	// routers may report more requests that were in progress.
+	evidenceDelay = 250 * time.Millisecond
 	// soundMargin is the time after a request succeeded for which its parts still
 	// count as sound.
 	soundMargin = 500 * time.Millisecond
@@ -38,6 +41,7 @@
 	maxSightingsPerCrash  = 32
 	maxEntries            = 64
 	maxSound              = 1 << 14
+	maxChanges            = 256
 	maxUpstreamsPerChange = 5
 )
 
@@ -132,9 +136,12 @@
 	lastSuccess clock.Instant
 	// changed is set if evidence was added or invalidated since the last decision.
 	changed bool
+	// matureAt is when the next crash counts, 0 if all of them do.
+	matureAt clock.Instant
 	// awaitsSuccess is set while a decision lacks only a success of another request.
 	awaitsSuccess bool
 	news          []news
+	changes       []Change
 	wake          chan struct{}
 }
 
@@ -153,6 +160,7 @@
 func (q *Quarantine) Check(now clock.Instant, parts []Part, mayProbe func(key string) bool) (Entry, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.reconsider(now)
 	for key, e := range q.entries {
 		if !containsAll(parts, e.parts) {
 			continue
@@ -172,6 +180,7 @@
 func (q *Quarantine) Forbids(now clock.Instant, parts []Part) (Entry, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.reconsider(now)
 	for _, e := range q.entries {
 		if now < e.until && containsAll(parts, e.parts) {
 			return *e, true
@@ -197,8 +206,8 @@
 }
 
 // RecordSuccess records that the response to a request with these parts began at a
-// time and completed since. It returns what changes.
-func (q *Quarantine) RecordSuccess(now, began clock.Instant, parts []Part) []Change {
+// time and completed since.
+func (q *Quarantine) RecordSuccess(now, began clock.Instant, parts []Part) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, p := range parts {
@@ -213,7 +222,7 @@
 			q.tellSound(p)
 		}
 	}
-	return q.reconsider(now)
+	q.reconsider(now)
 }
 
 func (q *Quarantine) recordSound(p Part, at clock.Instant) {
@@ -248,8 +257,8 @@
 	}
 }
 
-// Expire drops what is too old and returns what changes.
-func (q *Quarantine) Expire(now clock.Instant) []Change {
+// Expire drops what is too old.
+func (q *Quarantine) Expire(now clock.Instant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for id, c := range q.crashes {
@@ -259,13 +268,40 @@
 		}
 	}
 	q.forgetSuccesses(now)
-	var changes []Change
 	for key, e := range q.entries {
 		if now.Sub(e.until) > probation {
 			delete(q.entries, key)
-			changes = append(changes, Change{Kind: Expired, Entry: *e})
+			q.report(Change{Kind: Expired, Entry: *e})
 			q.changed = true
 		}
 	}
-	return append(changes, q.reconsider(now)...)
+	q.reconsider(now)
+}
+
+// report queues a change for TakeChanges. Changes beyond maxChanges are dropped.
+func (q *Quarantine) report(c Change) {
+	if len(q.changes) < maxChanges {
+		q.changes = append(q.changes, c)
+	}
+	q.notify()
+}
+
+// TakeChanges returns the changes since the last call.
+func (q *Quarantine) TakeChanges() []Change {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	changes := q.changes
+	q.changes = nil
+	return changes
+}
+
+// Wake returns a channel that receives a value when there are facts for peers or
+// changes.
+func (q *Quarantine) Wake() <-chan struct{} { return q.wake }
+
+func (q *Quarantine) notify() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
 }
--- a/internal/router/quarantine/quarantine_test.go
+++ b/internal/router/quarantine/quarantine_test.go
@@ -28,8 +28,8 @@
 	return s.routers[name]
 }
 
-func (s *script) report(router string, changes []Change) {
-	for _, c := range changes {
+func (s *script) report(router string) {
+	for _, c := range s.router(router).TakeChanges() {
 		fmt.Fprintf(&s.output, "%s: %s %s crashes=%d left=%s strikes=%d peer=%t\n", router, c.Kind, names(c.Entry.Parts()), c.Entry.Crashes(), c.Entry.TimeLeft(s.now), c.Entry.Strikes(), c.FromPeer)
 	}
 }
@@ -69,15 +69,16 @@
 	name, q := f[0], s.router(f[0])
 	switch f[1] {
 	case "ends": // a request was in progress at a crash
-		s.report(name, q.AddCrash(s.now, crashOf(f[2]), s.now, f[2], [][]Part{partsOf(f[3])}))
+		q.AddCrash(s.now, crashOf(f[2]), s.now, f[2], [][]Part{partsOf(f[3])})
 	case "serves":
 		began := s.now
 		if len(f) > 3 {
 			began = s.began[f[3]]
 		}
-		s.report(name, q.RecordSuccess(s.now, began, partsOf(f[2])))
+		q.RecordSuccess(s.now, began, partsOf(f[2]))
 	case "asks", "probes":
 		e, refused := q.Check(s.now, partsOf(f[2]), func(string) bool { return f[1] == "probes" })
+		s.report(name)
 		fmt.Fprintf(&s.output, "%s: %s refused=%t", name, f[2], refused)
 		if refused {
 			fmt.Fprintf(&s.output, " because of %s, again in %s", names(e.Parts()), e.RetryAfter(s.now))
@@ -92,10 +93,11 @@
 			s.deliver(t, td, to, facts)
 		}
 	case "expires":
-		s.report(name, q.Expire(s.now))
+		q.Expire(s.now)
 	default:
 		td.Fatalf(t, "unknown command %q", line)
 	}
+	s.report(name)
 }
 
 func (s *script) deliver(t *testing.T, td *datadriven.TestData, to string, facts []Fact) {
@@ -108,7 +110,8 @@
 		if err != nil {
 			td.Fatalf(t, "%v", err)
 		}
-		s.report(to, s.router(to).Merge(s.now, decoded))
+		s.router(to).Merge(s.now, decoded)
+		s.report(to)
 	}
 }
 
