Save the quarantined parts in the platform's store

Cause: what routers know of crashes lives in their memory only.

Times are kept as ages with the wall-clock time of saving.

--- a/internal/host/edge/crash.go
+++ b/internal/host/edge/crash.go
@@ -48,6 +48,12 @@
 
 // logQuarantine logs and counts changes of the quarantined sets of parts.
 func (e *Edge) logQuarantine(now clock.Instant, changes []quarantine.Change) {
+	if len(changes) > 0 {
+		select {
+		case e.quarantineChanged <- struct{}{}:
+		default:
+		}
+	}
 	for _, c := range changes {
 		first, last := c.Entry.EvidenceAge(now)
 		e.counters.Add("quarantine_"+c.Kind, 1)
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -105,16 +105,17 @@
 // reads the store itself.
 func (e *Edge) listPeers(ctx context.Context) error {
 	first := !e.peersListed.Load()
-	routers, err := e.store.ListRouters(ctx, false)
-	if err == nil && first && !e.listsOthers(routers) {
-		routers, err = e.store.ListRouters(ctx, true)
+	list, err := e.store.ListRouters(ctx, false)
+	if err == nil && first && !e.listsOthers(list.Addresses) {
+		list, err = e.store.ListRouters(ctx, true)
 	}
 	if err != nil {
 		return err
 	}
 	e.peersListed.Store(true)
-	if e.gossipState.SetPeers(clock.Now(), routers) || first {
-		e.log.WithField("routers", len(routers)).Info("peers changed")
+	e.loadQuarantine(list.Quarantine)
+	if e.gossipState.SetPeers(clock.Now(), list.Addresses) || first {
+		e.log.WithField("routers", len(list.Addresses)).Info("peers changed")
 	}
 	return nil
 }
--- a/internal/host/edge/store.go
+++ b/internal/host/edge/store.go
@@ -29,6 +29,15 @@
 	Document []byte
 }
 
+// RouterList is what routers have stored for each other.
+type RouterList struct {
+	// Addresses holds the peer addresses of the registered routers by name.
+	Addresses map[string]string
+	// Quarantine is the document that SaveQuarantine stored last, nil if there is
+	// none.
+	Quarantine []byte
+}
+
 // Store is the part of the platform's store that a router uses. Revisions order
 // all changes. A failed read has no effect; a failed write may or may not have
 // taken effect.
@@ -47,9 +56,11 @@
 	// WatchUpstreams waits for changes after a revision, at most for wait. It
 	// returns them, none after wait, and the revision that they lead up to.
 	WatchUpstreams(ctx context.Context, after uint64, wait time.Duration) ([]directory.Update, uint64, error)
-	// ListRouters returns the peer addresses of the registered routers by name.
-	// Unless fresh is set, the list may be a few seconds old, which costs less.
-	ListRouters(ctx context.Context, fresh bool) (map[string]string, error)
+	// ListRouters returns the registered routers and the saved quarantine. Unless
+	// fresh is set, the list may be a few seconds old, which costs less.
+	ListRouters(ctx context.Context, fresh bool) (RouterList, error)
+	// SaveQuarantine stores a document that ListRouters returns from then on.
+	SaveQuarantine(ctx context.Context, document []byte) error
 	// GrantLease creates a lease and returns its ID.
 	GrantLease(ctx context.Context, lifetime time.Duration) (uint64, error)
 	// RenewLease renews a lease. It returns ErrNoLease if the lease has expired.
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -116,7 +116,7 @@
 	switch {
 	case j.request.Context().Err() != nil:
 		reason = "caller left"
-	case errors.Is(err, errNoUpstream) || errors.Is(err, errDeadlineExceeded) || errors.Is(err, errCallerLeft) || isQuarantined(err):
+	case errors.Is(err, errNoUpstream) || errors.Is(err, errDeadlineExceeded) || errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined):
 		reason = "final"
 	case j.remaining() < minRemaining:
 		reason = "no time"
--- a/internal/router/forward/quarantine.go
+++ b/internal/router/forward/quarantine.go
@@ -13,7 +13,10 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
 )
 
-// quarantineError means that parts of the prompt are quarantined.
+// errQuarantined means that parts of the prompt are quarantined.
+var errQuarantined = errors.New("parts of the prompt are quarantined")
+
+// quarantineError is an errQuarantined that names the parts.
 type quarantineError struct {
 	parts      string
 	crashes    int
@@ -24,10 +27,8 @@
 	return fmt.Sprintf("upstreams crash on this part of the prompt: %s (%d crashes)", e.parts, e.crashes)
 }
 
-func isQuarantined(err error) bool {
-	var e *quarantineError
-	return errors.As(err, &e)
-}
+// Is reports whether target is errQuarantined.
+func (e *quarantineError) Is(target error) bool { return target == errQuarantined }
 
 // QuarantineRefusals returns the number of requests refused so far because of
 // quarantined parts.
--- a/internal/router/forward/send_test.go
+++ b/internal/router/forward/send_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"errors"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/activeconfig"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/route"
 )
 
@@ -42,6 +46,12 @@
 		}, errNotReceiving},
 		{"announced that it leaves", 0, func(j *job, _ clock.Instant, u *directory.Upstream) { j.Directory.MarkLeaving(u) }, errNotReceiving},
 		{"asked for a pause", time.Second, func(j *job, now clock.Instant, u *directory.Upstream) { j.Health.RecordPause(now, u.ID(), time.Hour) }, errPaused},
+		{"part quarantined", time.Second, func(j *job, now clock.Instant, _ *directory.Upstream) {
+			j.Quarantine.Merge(now, []quarantine.Fact{{Kind: "quarantine", Parts: quarantine.NewParts("desk", []string{"deadly"}), Crashes: 3, LeftMS: 1000}})
+		}, errQuarantined},
+		{"other parts quarantined", time.Second, func(j *job, now clock.Instant, _ *directory.Upstream) {
+			j.Quarantine.Merge(now, []quarantine.Fact{{Kind: "quarantine", Parts: quarantine.NewParts("desk", []string{"deadly", "other"}), Crashes: 3, LeftMS: 1000}})
+		}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			decided := clock.Instant(time.Hour)
@@ -49,8 +59,9 @@
 			table.AddWorkspace(route.NewWorkspace("studio", nil, nil), []string{"key"})
 			j := &job{
 				Gateway: &Gateway{Dependencies: Dependencies{
-					ActiveConfig: activeconfig.New(confirmedFor), Directory: directory.New(), Health: balance.NewHealth(),
+					ActiveConfig: activeconfig.New(confirmedFor), Directory: directory.New(), Health: balance.NewHealth(), Quarantine: quarantine.New(), Log: silentLog(),
 				}},
+				parts:  quarantine.NewParts("desk", []string{"first", "deadly"}),
 				config: table, route: route.New(route.Spec{Name: "safe"}), deadline: decided.Add(timeLeft),
 			}
 			j.ActiveConfig.Confirm(decided)
@@ -66,3 +77,9 @@
 		})
 	}
 }
+
+func silentLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- a/internal/router/quarantine/quarantine_test.go
+++ b/internal/router/quarantine/quarantine_test.go
@@ -183,6 +183,56 @@
 	}
 }
 
+// TestDocument guards against a saved quarantine that lasts longer than it was to, and
+// against one that is not read back.
+func TestDocument(t *testing.T) {
+	savedAt := time.UnixMilli(1_800_000_000_000)
+	facts := []Fact{
+		{Kind: entryNews, Parts: partsOf("x"), Crashes: 3, AgeMS: 1000, FirstAgeMS: 2000, LeftMS: 60_000},
+		{Kind: entryNews, Parts: partsOf("y,z"), Crashes: 5, AgeMS: 1000, FirstAgeMS: 2000, LeftMS: -probation.Milliseconds() + 5000, Strikes: 2},
+	}
+	document, err := EncodeDocument(facts, savedAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		elapsed time.Duration
+		left    []int64
+	}{
+		{0, []int64{60_000, -595_000}},
+		{time.Second, []int64{59_000, -596_000}},
+		{-time.Hour, []int64{60_000, -595_000}},
+		{10 * time.Second, []int64{50_000}},
+		{time.Hour, nil},
+	} {
+		read, err := DecodeDocument(document, savedAt.Add(c.elapsed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var left []int64
+		for _, f := range read {
+			left = append(left, f.LeftMS)
+		}
+		if !slices.Equal(left, c.left) {
+			t.Errorf("after %v: %v, want %v", c.elapsed, left, c.left)
+		}
+		if c.elapsed == 0 && SetsOf(read) != SetsOf(facts) {
+			t.Errorf("%q, want %q", SetsOf(read), SetsOf(facts))
+		}
+	}
+	for _, odd := range []string{"{", "[]\n", `{"saved_at_ms":1e99}` + "\n", `{"saved_at_ms":1}` + "\n{", strings.Repeat(" ", maxDocumentBytes+1)} {
+		if read, err := DecodeDocument([]byte(odd), savedAt); err == nil && len(read) > 0 {
+			t.Errorf("%.40q decoded as %v", odd, read)
+		}
+	}
+	if document, err = EncodeDocument(nil, savedAt); err != nil {
+		t.Fatal(err)
+	}
+	if read, err := DecodeDocument(document, savedAt); err != nil || len(read) != 0 {
+		t.Errorf("empty document: %v, %v", read, err)
+	}
+}
+
 // FuzzDecode guards against facts that end the process or are not the same after
 // another round.
 func FuzzDecode(f *testing.F) {
