Don't take a repeated refusal for the response to a later request

What callers saw: 503 (not run, try again) for a request that the upstream ran.

Cause: an upstream that wrote an earlier refusal once more on a kept connection, without a request ID, had it matched to the next request: a failure without an ID was accepted on any connection. With the earlier ID it was skipped already.

Change: a response without an ID is accepted only as the first one on its connection, which cannot belong to an earlier request.

--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -141,11 +141,12 @@
 	}
 }
 
-// belongsToRequest reports whether a response belongs to the request. A
-// response without an ID is accepted only if it is not a success.
-func (j *job) belongsToRequest(status int, h http.Header) bool {
+// belongsToRequest reports whether a response belongs to the request. A response
+// without an ID is accepted only if it is not a success and the first one on its
+// connection; another one may repeat an earlier refusal while the request runs.
+func (j *job) belongsToRequest(status int, h http.Header, first bool) bool {
 	info := j.Protocol.ParseResponse(status, h)
-	return info.ID == j.info.ID || info.ID == "" && status >= http.StatusMultipleChoices
+	return info.ID == j.info.ID || info.ID == "" && status >= http.StatusMultipleChoices && first
 }
 
 // recordFailure records a failed attempt in the upstream's health, unless the
--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -100,7 +100,7 @@
 		go func() {
 			r, err := pool.Do(context.Background(), Request{
 				Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}, MaxIdleAge: time.Minute,
-				Matches: func(int, http.Header) bool { return true },
+				Matches: func(int, http.Header, bool) bool { return true },
 			})
 			done <- result{r, err}
 		}()
@@ -235,7 +235,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 				r, err := pool.Do(ctx, Request{
 					Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Request-Id": {id}}, MaxIdleAge: time.Minute,
-					Matches: func(_ int, h http.Header) bool { return h.Get("Request-Id") == id },
+					Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Request-Id") == id },
 				})
 				if err == nil {
 					text, err := io.ReadAll(r)
@@ -260,7 +260,7 @@
 	pool := NewPool(server.Listener.Addr().String())
 	request := Request{
 		Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"X-Left": {"100"}},
-		Matches: func(int, http.Header) bool { return true },
+		Matches: func(int, http.Header, bool) bool { return true },
 	}
 	reason := errors.New("withdrawn")
 	request.BeforeSend = func() (http.Header, error) { return nil, reason }
@@ -296,7 +296,7 @@
 		}))
 		pool := NewPool(server.Listener.Addr().String())
 		r, err := pool.Do(context.Background(), Request{
-			Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}, Matches: func(int, http.Header) bool { return true },
+			Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}, Matches: func(int, http.Header, bool) bool { return true },
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -328,7 +328,7 @@
 		defer client.Close()
 		r, err := newConn(client).roundTrip(Request{
 			Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{},
-			Matches: func(_ int, h http.Header) bool { return h.Get("Request-Id") == "7" },
+			Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Request-Id") == "7" },
 		})
 		if err != nil {
 			return
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -47,7 +47,9 @@
 	// error to keep the request from being sent.
 	BeforeSend func() (http.Header, error)
 	// Matches reports whether a response with this header belongs to the request.
-	Matches func(status int, h http.Header) bool
+	// first is set for the first response on a connection, which cannot belong to an
+	// earlier request.
+	Matches func(status int, h http.Header, first bool) bool
 	// MaxConns bounds this router's connections to the upstream, 0 for no bound.
 	MaxConns int
 	// MaxIdleAge is the longest idle time of a connection that may be reused.
@@ -184,6 +186,7 @@
 			writeErr <- err
 		}()
 	}
+	first := !c.reused
 	for range maxUnmatched {
 		c.head.start()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
@@ -194,7 +197,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if q.Matches(resp.StatusCode, resp.Header) {
+		if q.Matches(resp.StatusCode, resp.Header, first) {
 			c.idleTimeout = keepAliveTimeout(resp.Header)
 			return &Response{
 				status: resp.StatusCode, header: resp.Header, body: resp.Body,
@@ -202,6 +205,7 @@
 				delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 			}, nil
 		}
+		first = false
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBodyBytes))
 		if err != nil || resp.Close || n == maxUnmatchedBodyBytes {
 			// The rest of a longer body must not be parsed as the next response.
