Don't pass on an error of the upstream that resumes a stream as its events

What callers saw: a text of an upstream, sent with status 200 in place of the rest of the stream, in the middle of their stream, which then ended as complete.

Cause: the body of any signed 2xx response to a resume request was read as events.

Change: a resumed response must have the content type of the stream that the caller receives; otherwise the attempt has failed. Errors with other statuses, unsigned responses and broken events were kept out already.

TestBrokenHead (each length of a head, both kinds of routes) and TestUnframedStream passed before too: a head or an event that ends early is not passed on as complete.

--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -191,6 +191,9 @@
 		return j.recordFailure(u, verdict.Errorf(verdict.Ran, "upstream %s sent a response without a signature", u.ID()))
 	}
 	if success && j.route.Kind() == route.Stream {
+		if contentType := res.Header().Get("Content-Type"); j.responseStarted && contentType != j.contentType {
+			return j.recordFailure(u, verdict.Errorf(verdict.Ran, "upstream %s resumed the stream with content type %q", u.ID(), contentType))
+		}
 		return j.relayStream(u, res)
 	}
 	return j.bufferResponse(u, res)
@@ -340,6 +343,7 @@
 	}
 	j.responseStarted, j.relayed = true, true
 	j.firstEventDelay = clock.Since(j.arrivedAt)
+	j.contentType = res.Header().Get("Content-Type")
 	copyHeader(j.writer.Header(), plain.EndToEnd(res.Header()))
 	j.writer.Header().Del("Content-Length")
 	j.status = res.Status()
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -82,6 +82,8 @@
 	// stall cancels the current attempt if the upstream makes no progress.
 	stall     *stallGuard
 	lastEvent string
+	// contentType is that of the stream that the caller receives.
+	contentType string
 	// attemptBegan is when the first event of the current attempt arrived, 0 before.
 	attemptBegan clock.Instant
 
