Treat a stream without length, chunks and events as broken

What callers saw: a complete stream with no event, or the rest of their stream missing, when an upstream ended right after the head of its response.

Cause: without length or chunks the end of the connection ends a body, so a crash before the first event looked like a complete response; it would also have counted as a success of the prompt parts.

Change: such a stream has failed unless an event has arrived; the attempt can be repeated, and the upstream is checked for a crash.

--- a/internal/router/forward/attempt.go
+++ b/internal/router/forward/attempt.go
@@ -41,6 +41,9 @@
 	errNotReceiving = errors.New("the upstream takes no new work any more")
 	errPaused       = errors.New("the upstream asked for a pause")
 	errUnconfirmed  = errors.New("configuration not confirmed")
+	// errNoEvents means that a stream without length or chunks ended before its first
+	// event. Nothing shows that it is complete.
+	errNoEvents = fmt.Errorf("stream ended without an event: %w", io.ErrUnexpectedEOF)
 )
 
 // relayBufferSize is the buffer size for relaying a long response, in bytes.
@@ -302,6 +305,9 @@
 	events := http1.NewEventReader(res)
 	for {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && j.attemptBegan == 0 && !res.Delimited() {
+			err = errNoEvents
+		}
 		if errors.Is(err, io.EOF) {
 			j.Health.RecordSuccess(clock.Now(), u.ID())
 			j.recordSound(res, j.attemptBegan)
