Don't report a chat request as not run because of a repeated refusal

What callers saw: 503 with 'not executed' from hemlockd for a request that an engine was running.

Cause: a refusal is matched to the request by the connection alone, so one that an engine writes again on a kept connection answers the next request.

Change: a refusal that does not repeat the request's ID counts as not run only on a new connection; otherwise the outcome is unknown.

Measured: TestRepeatedRefusal in package chat, both cases red before (503 for a request that ran), pass; the tests of callers, upstreams and stand-ins pass.

--- a/internal/caller/chat/chat_test.go
+++ b/internal/caller/chat/chat_test.go
@@ -519,3 +519,58 @@
 		last = response
 	}
 }
+
+// TestRepeatedRefusal guards against reporting a request as not run because an engine
+// wrote an earlier refusal once more on a connection that is used again.
+func TestRepeatedRefusal(t *testing.T) {
+	for name, earlierID := range map[string]string{"with the earlier ID": "Request-Id: earlier\r\n", "without ID": ""} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go refuseTwice(c, earlierID)
+				}
+			}()
+			deps, server := startServer(t, []Option{WithMaxAttempts(1)})
+			deps.engines = append(deps.engines, &httptest.Server{URL: "http://" + l.Addr().String()})
+			if resp, text := postCompletion(t, server, unclosedRequest+"}"); resp.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("the refused request got %d %s", resp.StatusCode, text)
+			}
+			if resp, text := postCompletion(t, server, unclosedRequest+"}"); resp.StatusCode == http.StatusServiceUnavailable || resp.Header.Get(verdict.Header) == verdict.NotRun.String() {
+				t.Errorf("a request that ran got %d %s", resp.StatusCode, text)
+			}
+		})
+	}
+}
+
+// refuseTwice refuses the first request on a connection and writes the refusal once
+// more when it runs the next one, with another ID line.
+func refuseTwice(c net.Conn, repeatedID string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	refusal := "HTTP/1.1 503 Busy\r\n%s" + verdict.Header + ": no\r\nContent-Length: 0\r\n\r\n"
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		id := "Request-Id: " + r.Header.Get("Request-Id") + "\r\n"
+		if n > 0 {
+			id = repeatedID
+		}
+		if _, err := fmt.Fprintf(c, refusal, id); err != nil {
+			return
+		}
+	}
+}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -88,6 +88,7 @@
 }
 
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	var request chatRequest
 	if !standin.DecodeJSON(w, r, &request) {
 		return
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -77,16 +77,18 @@
 
 // stream is one call in progress.
 type stream struct {
-	client     *Client
-	ctx        context.Context
-	call       Call
-	deliver    func(Chunk) error
-	sequencer  *sequencer
-	result     Result
-	response   *http.Response
-	cancel     context.CancelCauseFunc
-	readTimer  *time.Timer
-	connected  bool
+	client    *Client
+	ctx       context.Context
+	call      Call
+	deliver   func(Chunk) error
+	sequencer *sequencer
+	result    Result
+	response  *http.Response
+	cancel    context.CancelCauseFunc
+	readTimer *time.Timer
+	connected bool
+	// reused is set if the current connection served another request before.
+	reused     bool
 	start      time.Time
 	deliverErr error // error of the receiver of the chunks
 }
@@ -182,7 +184,7 @@
 
 func (s *stream) newRequest(ctx context.Context) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { s.connected = true },
+		GotConn: func(info httptrace.GotConnInfo) { s.connected, s.reused = true, info.Reused },
 	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.call.Address+"/v1/chat/completions", bytes.NewReader(s.call.Body))
 	if err != nil {
@@ -218,7 +220,11 @@
 	if resp.StatusCode != http.StatusOK {
 		s.readTimer.Reset(s.client.readTimeout)
 		defer s.readTimer.Stop()
-		return readStatusError(resp)
+		statusErr := readStatusError(resp)
+		if !s.answersCall(resp) {
+			statusErr.verdict = verdict.Unknown
+		}
+		return statusErr
 	}
 	if !bytes.HasPrefix([]byte(resp.Header.Get("Content-Type")), []byte("text/event-stream")) {
 		return fmt.Errorf("%w: content type %q", ErrNotStream, resp.Header.Get("Content-Type"))
@@ -226,6 +232,14 @@
 	return nil
 }
 
+// answersCall reports whether a response is certainly not a repeated one to an earlier
+// request on the connection: it repeats the ID of the request, or has none and the
+// connection is new.
+func (s *stream) answersCall(resp *http.Response) bool {
+	id := resp.Header.Get("Request-Id")
+	return id == s.call.RequestID || id == "" && !s.reused
+}
+
 // Read reads from the response within the read timeout and the gap timeout. It
 // makes the stream the reader of its parser.
 func (s *stream) Read(b []byte) (int, error) {
