Test that a head that ends early is no complete response of a plain service

Cause: a report of another operator: a 200 with an empty or short body after a head that broke off.

Change: a test only; net/http rejects such heads.

--- a/internal/upstream/plain/client_test.go
+++ b/internal/upstream/plain/client_test.go
@@ -177,6 +177,41 @@
 	}
 }
 
+// TestBrokenHead guards against taking a response whose head ends early for a complete
+// one.
+func TestBrokenHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 800\r\n\r\n"
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	length := make(chan int, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, head[:<-length])
+			_ = c.Close()
+		}
+	}()
+	client := New(transport.New())
+	for n := range len(head) {
+		length <- n + 1
+		response, err := client.Do(t.Context(), Call{Address: l.Addr().String(), Method: http.MethodPost, Path: "/", RequestID: "r"})
+		if err == nil {
+			text, readErr := io.ReadAll(response.Body())
+			_ = response.Body().Close()
+			if readErr == nil {
+				t.Errorf("after %d bytes of the head: status %d, %q", n+1, response.Status(), text)
+			}
+		}
+	}
+}
+
 // TestLateResponse guards against a late second copy of a response that the next
 // caller gets as its own, and against sending a call again on a new connection.
 func TestLateResponse(t *testing.T) {
