Recognise one crash that routers report under different IDs

Cause: a router whose list of upstreams is older, or one that does not know the incarnation, gives a crash another ID; it would count twice.

Change: reports on one upstream within half a second are about the same crash. Of a long prompt the first parts are considered too, not only the last ones. The fields of a quarantined set for log and metrics are in one place.

--- a/internal/host/edge/crash.go
+++ b/internal/host/edge/crash.go
@@ -55,37 +55,17 @@
 		}
 	}
 	for _, c := range changes {
-		first, last := c.Entry.EvidenceAge(now)
 		e.counters.Add("quarantine_"+c.Kind, 1)
-		e.log.WithFields(logrus.Fields{
-			"parts": joinParts(c.Entry.Parts()), "change": c.Kind, "crashes": c.Entry.Crashes(), "upstreams": strings.Join(c.Entry.Upstreams(), " "),
-			"first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(), "left_ms": c.Entry.TimeLeft(now).Milliseconds(),
-			"failed_probes": c.Entry.Strikes(), "from_peer": c.FromPeer,
-		}).Warn("quarantine of prompt parts changed")
+		e.log.WithFields(c.Entry.Fields(now)).WithFields(logrus.Fields{"change": c.Kind, "from_peer": c.FromPeer}).Warn("quarantine of prompt parts changed")
 	}
 }
 
-func joinParts(parts []quarantine.Part) string {
-	var b strings.Builder
-	for i, p := range parts {
-		if i > 0 {
-			b.WriteByte('+')
-		}
-		b.WriteString(string(p))
-	}
-	return b.String()
-}
-
 // quarantineState returns the quarantined sets for the metrics.
 func (e *Edge) quarantineState() any {
 	now := clock.Now()
 	list := []map[string]any{}
 	for _, entry := range e.quarantine.Entries() {
-		first, last := entry.EvidenceAge(now)
-		list = append(list, map[string]any{
-			"parts": joinParts(entry.Parts()), "crashes": entry.Crashes(), "upstreams": entry.Upstreams(), "failed_probes": entry.Strikes(),
-			"first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(), "left_ms": entry.TimeLeft(now).Milliseconds(),
-		})
+		list = append(list, entry.Fields(now))
 	}
 	return list
 }
--- a/internal/router/forward/quarantine.go
+++ b/internal/router/forward/quarantine.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1"
@@ -63,11 +61,7 @@
 	for _, p := range e.Parts() {
 		names = append(names, p.Name())
 	}
-	first, last := e.EvidenceAge(now)
-	j.log().WithFields(logrus.Fields{
-		"parts": strings.Join(names, "+"), "crashes": e.Crashes(), "first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(),
-		"upstreams": strings.Join(e.Upstreams(), " "), "left_ms": e.TimeLeft(now).Milliseconds(), "service": j.serviceName,
-	}).Info("request has quarantined parts")
+	j.log().WithFields(e.Fields(now)).Info("request has quarantined parts")
 	return &quarantineError{parts: strings.Join(names, "+"), crashes: e.Crashes(), retryAfter: e.RetryAfter(now)}
 }
 
--- a/internal/router/quarantine/evidence.go
+++ b/internal/router/quarantine/evidence.go
@@ -21,6 +21,7 @@
 	if !q.accuses(parts, at) {
 		return
 	}
+	id = q.knownCrash(id, at, upstream)
 	c := q.crashes[id]
 	if c == nil {
 		if len(q.crashes) >= maxCrashes {
@@ -52,6 +53,17 @@
 	}
 }
 
+// knownCrash returns the ID under which a crash is known, or id if it is not. Routers
+// that do not know the incarnation of an upstream give one crash different IDs.
+func (q *Quarantine) knownCrash(id Crash, at clock.Instant, upstream string) Crash {
+	for known, c := range q.crashes {
+		if c.upstream == upstream && at.Sub(c.at).Abs() < sameCrash {
+			return known
+		}
+	}
+	return id
+}
+
 // accuses reports whether a request that was in progress at a crash has a part that
 // is not known to be sound. If not, it tells peers so.
 func (q *Quarantine) accuses(parts []Part, at clock.Instant) bool {
--- a/internal/router/quarantine/part.go
+++ b/internal/router/quarantine/part.go
@@ -12,9 +12,10 @@
 	// maxPartBytes limits the length of a Part, so that a sighting fits in one
 	// datagram. A longer name is replaced by its hash.
 	maxPartBytes = 40
-	// maxParts is the number of parts of one request that are considered, the last
-	// ones if there are more.
-	maxParts = 24
+	// maxParts is the number of parts of one request that are considered: the first
+	// maxFirstParts, which are shared most, and the last ones.
+	maxParts      = 24
+	maxFirstParts = 8
 )
 
 // Part names one part of the prompts of one service. Upstreams of another service
@@ -42,7 +43,9 @@
 // NewParts returns the parts of a service's prompt that are considered, given the
 // names of its parts in order.
 func NewParts(service string, names []string) []Part {
-	names = names[max(0, len(names)-maxParts):]
+	if len(names) > maxParts {
+		names = append(slices.Clone(names[:maxFirstParts]), names[len(names)-maxParts+maxFirstParts:]...)
+	}
 	parts := make([]Part, len(names))
 	for i, name := range names {
 		parts[i] = NewPart(service, name)
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	// evidenceDelay is the time after a crash from which it counts. Until then other
 	// routers may report more requests that were in progress.
 	evidenceDelay = 250 * time.Millisecond
+	// sameCrash is the time within which reports on one upstream are about the same
+	// crash. A restart takes longer.
+	sameCrash = 500 * time.Millisecond
 	// soundMargin is the time after a request succeeded for which its parts still
 	// count as sound.
 	soundMargin = 500 * time.Millisecond
@@ -97,6 +101,20 @@
 // Strikes returns the number of probes that crashed an upstream.
 func (e Entry) Strikes() int { return e.strikes }
 
+// Fields returns what the log and the metrics show of the set: its parts, the evidence
+// with its age, and the time left, in ms.
+func (e Entry) Fields(now clock.Instant) map[string]any {
+	first, last := e.EvidenceAge(now)
+	names := make([]string, len(e.parts))
+	for i, p := range e.parts {
+		names[i] = string(p)
+	}
+	return map[string]any{
+		"parts": strings.Join(names, "+"), "crashes": e.crashes, "upstreams": strings.Join(e.upstreams, " "), "failed_probes": e.strikes,
+		"first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(), "left_ms": e.TimeLeft(now).Milliseconds(),
+	}
+}
+
 // Kinds of changes.
 const (
 	// Quarantined means that a set is refused from now on.
