Keep chats with messages that crash engines from reaching them in hemlockd

Change: the messages of a chat but the last are its parts. An entry router that loses a connection checks whether the engine still accepts one, and feeds crashes to package quarantine. Facts go to other routers by POST /Facts on their address, at once and with each exchange; older routers answer 404. A chat with quarantined messages is refused with 503 as not executed, the time left, and the number of the message.

--- a/internal/caller/chat/exchange.go
+++ b/internal/caller/chat/exchange.go
@@ -60,6 +60,7 @@
 	timer         *time.Timer     // first-chunk timeout, then stream timeout
 	cancel        context.CancelCauseFunc
 	lastResult    engine.Result // of the latest attempt
+	firstChunkAt  time.Time     // of the latest attempt, zero before
 }
 
 func newExchange(h *Handler, w http.ResponseWriter, r *http.Request) *exchange {
@@ -248,6 +249,9 @@
 func (x *exchange) runAttempt(ctx context.Context) error {
 	start := time.Now()
 	x.setTimeout(max(0, x.handler.firstChunkTimeout-start.Sub(x.summary.Start)), errFirstChunkTimeout)
+	if err := x.checkParts(); err != nil {
+		return err
+	}
 	grant, err := x.handler.admission.Acquire(ctx, x.admissionRequest())
 	x.summary.QueueTime += time.Since(start)
 	if err != nil {
@@ -257,11 +261,13 @@
 	x.summary.Upstream = grant.UpstreamID()
 	var report admission.Report
 	defer func() { grant.Release(report) }()
+	x.firstChunkAt = time.Time{}
 	result, err := x.handler.engines.Stream(ctx, x.engineCall(grant), x.handleChunk)
 	x.lastResult = result
 	x.recordResult(start)
 	x.tried = append(x.tried, grant.UpstreamID())
 	report = x.newReport(result, err)
+	x.reportParts(ctx, grant.UpstreamID(), grant.Address(), result, err)
 	return err
 }
 
@@ -301,6 +307,7 @@
 // an attempt replaces the first-chunk timeout with the stream timeout.
 func (x *exchange) handleChunk(c engine.Chunk) error {
 	if c.Seq() == 1 {
+		x.firstChunkAt = time.Now()
 		x.setTimeout(x.handler.streamTimeout, errStreamTimeout)
 	}
 	return x.writer.writeChunk(c)
--- a/internal/caller/chat/handler.go
+++ b/internal/caller/chat/handler.go
@@ -55,6 +55,7 @@
 	keys              admission.KeyResolver
 	catalog           ModelCatalog
 	observer          admission.Observer
+	guard             PartGuard
 	maxBody           func(workspace string) int64
 	bodyBudget        int64
 	reservedBytes     atomic.Int64
@@ -100,7 +101,7 @@
 // New returns a handler for /v1/chat/completions and /v1/models.
 func New(admitter admission.Admission, engines EngineClient, keys admission.KeyResolver, catalog ModelCatalog, observer admission.Observer, options ...Option) *Handler {
 	h := &Handler{
-		admission: admitter, engines: engines, keys: keys, catalog: catalog, observer: observer,
+		admission: admitter, engines: engines, keys: keys, catalog: catalog, observer: observer, guard: noGuard{},
 		maxBody:           func(string) int64 { return 0 },
 		bodyBudget:        defaultBodyBudget,
 		maxAttempts:       defaultMaxAttempts,
--- a/internal/caller/chat/parse.go
+++ b/internal/caller/chat/parse.go
@@ -28,7 +28,8 @@
 	model        string
 	stream       bool
 	includeUsage bool
-	prefixHash   uint64 // of the messages that all turns of a chat share
+	prefixHash   uint64   // of the messages that all turns of a chat share
+	parts        []string // hashes of all messages but the last, which later turns repeat
 	promptBytes  int
 	outputTokens int // estimated maximum per choice
 	choices      int
@@ -199,13 +200,14 @@
 }
 
 // parseMessages validates the roles and hashes the messages up to and including
-// the first user message, which later turns of a chat repeat unchanged.
+// the first user message, which later turns of a chat repeat unchanged, and each
+// message by itself.
 func (q *chatRequest) parseMessages(value []byte) error {
 	if firstByte(value) != '[' {
 		return invalidValue("messages", "messages must be an array")
 	}
 	q.promptBytes = len(value)
-	hash := xxhash.New()
+	hash, messageHash := xxhash.New(), xxhash.New()
 	count, inPrefix := 0, true
 	err := forEachElement(value, func(message []byte) error {
 		role, content, err := parseMessage(message)
@@ -214,12 +216,11 @@
 		}
 		count++
 		if inPrefix {
-			// Writes to the hash never fail.
-			_, _ = hash.WriteString(role)
-			_, _ = hash.Write([]byte{0})
-			_, _ = hash.Write(content)
-			_, _ = hash.Write([]byte{0})
+			writeMessage(hash, role, content)
 		}
+		messageHash.Reset()
+		writeMessage(messageHash, role, content)
+		q.parts = append(q.parts, strconv.FormatUint(messageHash.Sum64(), 16))
 		inPrefix = inPrefix && role != "user"
 		return nil
 	})
@@ -227,9 +228,18 @@
 		return invalidValue("messages", "messages must not be empty")
 	}
 	q.prefixHash = hash.Sum64()
+	q.parts = q.parts[:max(0, count-1)]
 	return err
 }
 
+// writeMessage adds a message to a hash. Writes to the hash never fail.
+func writeMessage(hash *xxhash.Digest, role string, content []byte) {
+	_, _ = hash.WriteString(role)
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write(content)
+	_, _ = hash.Write([]byte{0})
+}
+
 func parseMessage(message []byte) (role string, content []byte, err error) {
 	if firstByte(message) != '{' {
 		return "", nil, invalidValue("messages", "each message must be an object")
--- a/internal/host/daemon/callers.go
+++ b/internal/host/daemon/callers.go
@@ -25,7 +25,7 @@
 		return int64(min(d.activeConfig().Workspace(workspace).MaxBody(), d.settings.MaxBodyBytes()))
 	}
 	chats := chat.New(d.grantClient, d.engines, d, d, o,
-		chat.WithMaxBody(maxBody), chat.WithStreamTimeout(d.settings.RequestTimeout()))
+		chat.WithMaxBody(maxBody), chat.WithStreamTimeout(d.settings.RequestTimeout()), chat.WithPartGuard(d.guard))
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", chats)
 	mux.Handle("/services/", plain.New(d.grantClient, services.New(d.pools), idempotency.New(idempotencyStore{d.store}), d, o,
--- a/internal/host/daemon/control.go
+++ b/internal/host/daemon/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/platform/hosts"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/membership"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/owner"
@@ -53,6 +54,7 @@
 		d.requestConfigFetch(address, version)
 	}
 	if exchange {
+		d.guard.quarantine.Expire(clock.Now())
 		d.sendExchanges(ctx, now)
 	}
 	d.claims.Step(now)
@@ -118,6 +120,7 @@
 func (d *Daemon) sendExchanges(ctx context.Context, now time.Time) {
 	full := d.members.NewRequest(now, d.claims.WantsHoldOff(now))
 	withoutIdentity := membership.WithoutIdentity(full)
+	facts := d.guard.snapshot()
 	for _, p := range d.members.Targets(now) {
 		request := full
 		if d.members.KnowsIdentity(p.ID) {
@@ -128,6 +131,9 @@
 			defer cancel()
 			result := exchangeResult{router: p.ID, address: p.Address, sent: time.Now()}
 			result.response, result.err = d.peerClients.Client(p.Address).Exchange(callCtx, request)
+			if err := d.guard.send(callCtx, p.Address, facts); err != nil {
+				d.log.WithFields(logrus.Fields{"event": "facts", "peer": p.Address, "error": err}).Debug("facts not sent")
+			}
 			select {
 			case d.exchangeResults <- result:
 			case <-ctx.Done():
--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -52,6 +52,7 @@
 	engines     *engine.Client
 	ownerTable  *owner.Table
 	grantClient *grant.Client
+	guard       *partGuard
 
 	owned ownedUpstreams
 
@@ -116,6 +117,7 @@
 	d.claims = d.newClaims()
 	d.ownerTable = owner.New(s.ID(), d.members, policies{d}, d.claims)
 	d.grantClient = grant.New(s.ID(), d, d.peerClients, d.decisions)
+	d.guard = newPartGuard(d)
 	return d, nil
 }
 
@@ -133,7 +135,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	s := httpServers{
 		callers:   d.callerServer(),
-		routers:   peer.Server(d.settings.RoutersAddress(), rpcService{d}, d.peerVars),
+		routers:   peer.Server(d.settings.RoutersAddress(), rpcService{d}, d.peerVars, d.guard.receive),
 		operators: &http.Server{Addr: d.settings.OperatorsAddress(), Handler: admin.Handler(d, d.decisions, d.vars), ReadHeaderTimeout: 5 * time.Second},
 	}
 	// The group must outlive ctx, since it runs during the graceful shutdown.
@@ -152,6 +154,7 @@
 		{"reports", d.runLoadReports},
 		{"orders", d.runReconcile},
 		{"sync", d.grantClient.Run},
+		{"facts", d.guard.run},
 		{"callers", serve(s.callers, nil)},
 		{"routers", serve(s.routers, d.peerVars)},
 		{"operators", serve(s.operators, nil)},
--- a/internal/host/daemon/placement_bench_test.go
+++ b/internal/host/daemon/placement_bench_test.go
@@ -46,7 +46,7 @@
 [platform]
 store = %s
 hosts = %s/hosts
-`, benchSecret, server.URL, server.URL))
+`, testSecret, server.URL, server.URL))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/router/peer/peer.go
+++ b/internal/router/peer/peer.go
@@ -127,12 +127,12 @@
 	return client
 }
 
-// Server returns the HTTP server for calls from other routers. Calls and bodies
-// are added to vars by method; Listener counts the bytes on the wire. The server
-// sends no pings, since the client does.
-func Server(address string, r rpc.Router, vars *expvar.Map) *http.Server {
+// Server returns the HTTP server for calls from other routers. Messages with facts go
+// to receiveFacts. Calls and bodies are added to vars by method; Listener counts the
+// bytes on the wire. The server sends no pings, since the client does.
+func Server(address string, r rpc.Router, vars *expvar.Map, receiveFacts func(message []byte)) *http.Server {
 	return &http.Server{
-		Addr: address, Handler: http.MaxBytesHandler(&countingHandler{next: rpc.NewRouterServer(r), vars: vars}, maxMessageBytes), Protocols: serverProtocols(),
+		Addr: address, Handler: http.MaxBytesHandler(&countingHandler{next: handleFacts(rpc.NewRouterServer(r), receiveFacts), vars: vars}, maxMessageBytes), Protocols: serverProtocols(),
 		HTTP2:             &http.HTTP2Config{WriteByteTimeout: pingAfter},
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -183,7 +183,7 @@
 }
 
 // routerMethods are the methods of the Router service.
-var routerMethods = map[string]bool{"Acquire": true, "Sync": true, "Exchange": true, "Handover": true, "FetchConfig": true}
+var routerMethods = map[string]bool{"Acquire": true, "Sync": true, "Exchange": true, "Handover": true, "FetchConfig": true, "Facts": true}
 
 type countingResponseWriter struct {
 	http.ResponseWriter
