Save the quarantined messages in the store of hemlockd too

Cause: as with hemlock-edge, all knowledge of crashes was lost with all routers.

Change: the saving moves to package partstore, which both programs use. hemlockd writes the key /hemlock/quarantine by compare-and-swap and reads it once at its start.

--- a/internal/host/daemon/bench_test.go
+++ b/internal/host/daemon/bench_test.go
@@ -23,7 +23,8 @@
 	options.ColdLimit, options.MaxBatchSize, options.PrefillPerToken, options.InterTokenLatency = 1000, 1000, 0, 0
 	engineServer := httptest.NewServer(engine.New(options))
 	b.Cleanup(engineServer.Close)
-	return startFleet(b, 1, []string{strings.TrimPrefix(engineServer.URL, "http://")})[0]
+	callers, _ := startFleet(b, startStore(b), 1, []string{strings.TrimPrefix(engineServer.URL, "http://")})
+	return callers[0]
 }
 
 // BenchmarkChat sends streamed chats of 5 and 200 tokens through a router. Time and
--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -155,6 +155,8 @@
 		{"orders", d.runReconcile},
 		{"sync", d.grantClient.Run},
 		{"facts", d.guard.run},
+		{"save", d.guard.saver.Run},
+		{"load", d.guard.load},
 		{"callers", serve(s.callers, nil)},
 		{"routers", serve(s.routers, d.peerVars)},
 		{"operators", serve(s.operators, nil)},
--- a/internal/host/daemon/deadly_part_test.go
+++ b/internal/host/daemon/deadly_part_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/operator/fleetconfig"
+	"github.com/hemlockcroft/hemlockcroft/internal/platform/etcd"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/engine"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/loadgen"
 )
@@ -113,68 +114,95 @@
 	time.AfterFunc(crashDowntime, e.start)
 }
 
-// TestDeadlyMessageReachesFewEngines guards against chats with a message that crashes
-// engines being sent to one engine after the other.
-func TestDeadlyMessageReachesFewEngines(t *testing.T) {
-	log := &crashLog{}
-	var engines []string
-	for range 8 {
-		engines = append(engines, startCrashingEngine(t, log).address)
-	}
-	callers := startFleet(t, 3, engines)
+// deadlyFleet is a fleet with engines that crash.
+type deadlyFleet struct {
+	key     string
+	log     *crashLog
+	engines []string
+	callers []string
+	stop    func()
+}
+
+func newDeadlyFleet(t *testing.T) *deadlyFleet {
 	key, err := fleetconfig.IssueKey([]byte(testSecret), "w", 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var served, sound, soundRefused, lateDeadly, deadlyRefused atomic.Int64
-	send := func(n int, first string) (loadgen.ChatResponse, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		return loadgen.SendChat(ctx, http.DefaultClient, loadgen.ChatRequest{
-			Address: callers[n%len(callers)], APIKey: key, ChatID: fmt.Sprint(n), Model: engine.Defaults().Model, Stream: true,
-			Messages: []engine.Message{{Role: "system", Content: "Help."}, {Role: "user", Content: first}, {Role: "user", Content: fmt.Sprint("question ", n)}},
-		})
+	f := &deadlyFleet{key: key, log: &crashLog{}}
+	for range 8 {
+		f.engines = append(f.engines, startCrashingEngine(t, f.log).address)
 	}
-	// New owners admit no requests at first.
+	return f
+}
+
+// start starts the routers and waits until they serve. New owners admit no requests
+// at first.
+func (f *deadlyFleet) start(t *testing.T, store string) {
+	t.Helper()
+	f.callers, f.stop = startFleet(t, store, 3, f.engines)
 	for begin := time.Now(); ; time.Sleep(100 * time.Millisecond) {
-		if reply, err := send(0, "subject 0"); err == nil && reply.Complete {
-			break
+		if reply, err := f.send(0, "subject 0"); err == nil && reply.Complete {
+			return
 		}
 		if time.Since(begin) > 20*time.Second {
 			t.Fatal("no chat is served")
 		}
 	}
+}
+
+// send sends a chat with a shared message to a router.
+func (f *deadlyFleet) send(n int, shared string) (loadgen.ChatResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return loadgen.SendChat(ctx, http.DefaultClient, loadgen.ChatRequest{
+		Address: f.callers[n%len(f.callers)], APIKey: f.key, ChatID: fmt.Sprint(n), Model: engine.Defaults().Model, Stream: true,
+		Messages: []engine.Message{{Role: "system", Content: "Help."}, {Role: "user", Content: shared}, {Role: "user", Content: fmt.Sprint("question ", n)}},
+	})
+}
+
+// refused reports whether a chat was refused because of a message.
+func refused(r loadgen.ChatResponse) bool {
+	return r.Status == http.StatusServiceUnavailable && r.Executed == "no" && r.RetryAfter > quarantineRetryAfter
+}
+
+// TestDeadlyMessageReachesFewEngines guards against chats with a message that crashes
+// engines being sent to one engine after the other.
+func TestDeadlyMessageReachesFewEngines(t *testing.T) {
+	t.Parallel()
+	f := newDeadlyFleet(t)
+	f.start(t, startStore(t))
+	var served, sound, soundRefused, lateDeadly, deadlyRefused atomic.Int64
 	var chats sync.WaitGroup
 	begin := time.Now()
 	for n := 0; time.Since(begin) < 9*time.Second; n++ {
 		chats.Go(func() {
 			deadly := n%4 == 0
-			first := fmt.Sprint("subject ", n%5)
+			shared := fmt.Sprint("subject ", n%5)
 			if deadly {
-				first = deadlyText
+				shared = deadlyText
 			}
-			reply, err := send(n, first)
+			reply, err := f.send(n, shared)
+			late := time.Since(begin) > 6*time.Second
 			switch {
-			case deadly && time.Since(begin) > 6*time.Second:
+			case deadly && late:
 				lateDeadly.Add(1)
-				if reply.Status == http.StatusServiceUnavailable && reply.Executed == "no" && reply.RetryAfter > quarantineRetryAfter {
+				if refused(reply) {
 					deadlyRefused.Add(1)
 				}
-			case deadly:
-			case time.Since(begin) > 6*time.Second:
+			case !deadly && late:
 				sound.Add(1)
 				if err == nil && reply.Complete {
 					served.Add(1)
 				}
 			}
-			if !deadly && reply.RetryAfter > quarantineRetryAfter {
+			if !deadly && refused(reply) {
 				soundRefused.Add(1)
 			}
 		})
 		time.Sleep(40 * time.Millisecond)
 	}
 	chats.Wait()
-	crashes, late := log.late()
+	crashes, late := f.log.late()
 	t.Logf("%d crashes, %d late, %d of %d deadly ones refused, %d of %d sound ones served", crashes, late, deadlyRefused.Load(), lateDeadly.Load(), served.Load(), sound.Load())
 	if late > maxLateChats {
 		t.Errorf("%d chats with the message reached engines later than %v after the fifth of %d crashes", late, lateAfter, crashes)
@@ -182,7 +210,40 @@
 	if soundRefused.Load() > 0 || 2*served.Load() < sound.Load() {
 		t.Errorf("of %d sound chats %d were served; %d were refused because of a message", sound.Load(), served.Load(), soundRefused.Load())
 	}
-	if refused := deadlyRefused.Load(); refused < lateDeadly.Load() {
-		t.Errorf("%d of %d chats with the message refused as not executed", refused, lateDeadly.Load())
+	if n := deadlyRefused.Load(); n < lateDeadly.Load() {
+		t.Errorf("%d of %d chats with the message refused as not executed", n, lateDeadly.Load())
+	}
+}
+
+// TestQuarantineOutlastsRouters guards against a message that crashes engines again
+// after all routers were lost.
+func TestQuarantineOutlastsRouters(t *testing.T) {
+	t.Parallel()
+	f, store := newDeadlyFleet(t), startStore(t)
+	f.start(t, store)
+	saved := func() bool {
+		kv, found, err := etcd.New([]string{store}).Get(t.Context(), quarantineKey)
+		return err == nil && found && strings.Contains(string(kv.Value()), `"quarantine"`)
+	}
+	for n := 0; n < 60 && !saved(); n++ {
+		for range 2 {
+			// Engines crash, so that chats may fail.
+			_, _ = f.send(n, fmt.Sprint("subject ", n%5))
+		}
+		_, _ = f.send(n, deadlyText)
+	}
+	if !saved() {
+		t.Fatal("the quarantine is not saved")
+	}
+	f.stop()
+	crashes, _ := f.log.late()
+	f.start(t, store)
+	for n := range 9 {
+		if reply, err := f.send(n, deadlyText); err != nil || !refused(reply) {
+			t.Errorf("chat with the message: %+v, %v", reply, err)
+		}
+	}
+	if after, _ := f.log.late(); after != crashes {
+		t.Errorf("%d crashes after the loss of all routers", after-crashes)
 	}
 }
--- a/internal/host/daemon/fleet_test.go
+++ b/internal/host/daemon/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,11 +29,26 @@
 	return l.Addr().String()
 }
 
-// startFleet runs routers with engines at the given addresses in this process and
-// returns the callers' addresses once the routers are ready.
-func startFleet(t testing.TB, routers int, engines []string) []string {
+// startStore runs a key-value service with a fleet configuration and returns its URL.
+func startStore(t testing.TB) string {
 	t.Helper()
 	store := httptest.NewServer(kv.New(time.Second))
+	t.Cleanup(func() {
+		store.CloseClientConnections()
+		store.Close()
+	})
+	document := "[fleet]\nversion = 1\n[defaults]\nmax_load = 1000\ncold_limit = 900\nload_floor = 1000\n"
+	if done, _, err := etcd.New([]string{store.URL}).Create(context.Background(), configKey, []byte(document), 0); err != nil || !done {
+		t.Fatal("configuration not written: ", err)
+	}
+	return store.URL
+}
+
+// startFleet runs routers with engines at the given addresses in this process. It
+// returns the callers' addresses once the routers are ready, and a function that stops
+// the routers.
+func startFleet(t testing.TB, store string, routers int, engines []string) (callers []string, stop func()) {
+	t.Helper()
 	target := func(address, id, kind, model string) hosts.Target {
 		return hosts.Target{Targets: []string{address}, Labels: map[string]string{
 			"id": id, "kind": kind, "service": "drafter", "model": model, "failure_domain": "d", "region": "r", "state": "live",
@@ -42,16 +58,12 @@
 	for i, address := range engines {
 		targets = append(targets, target(address, fmt.Sprint("drafter-", i+1), "engine", engine.Defaults().Model))
 	}
-	var callers, peers []string
+	var peers []string
 	for i := range routers {
 		callers, peers = append(callers, freeAddress(t)), append(peers, freeAddress(t))
 		targets = append(targets, target(peers[i], fmt.Sprint("router-", i+1), "router", ""))
 	}
 	hostServer := httptest.NewServer(hosts.New(targets))
-	document := "[fleet]\nversion = 1\n[defaults]\nmax_load = 1000\ncold_limit = 900\nload_floor = 1000\n"
-	if done, _, err := etcd.New([]string{store.URL}).Create(context.Background(), configKey, []byte(document), 0); err != nil || !done {
-		t.Fatal("configuration not written: ", err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, routers)
 	var ready []string
@@ -70,28 +82,27 @@
 [platform]
 store = %s
 hosts = %s/hosts
-`, i+1, callers[i], peers[i], operators, testSecret, store.URL, hostServer.URL))
+`, i+1, callers[i], peers[i], operators, testSecret, store, hostServer.URL))
 		if err != nil {
 			t.Fatal(err)
 		}
 		go func() { ended <- Run(ctx, s) }()
 	}
-	t.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
 		cancel()
 		for range routers {
 			if err := <-ended; err != nil {
 				t.Error(err)
 			}
 		}
-		for _, server := range []*httptest.Server{store, hostServer} {
-			server.CloseClientConnections()
-			server.Close()
-		}
+		hostServer.CloseClientConnections()
+		hostServer.Close()
 	})
-	readyCtx, stop := context.WithTimeout(context.Background(), 30*time.Second)
-	defer stop()
+	t.Cleanup(stop)
+	readyCtx, cancelReady := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancelReady()
 	if err := loadgen.WaitReady(readyCtx, ready); err != nil {
 		t.Fatal(err)
 	}
-	return callers
+	return callers, stop
 }
--- a/internal/host/daemon/partguard.go
+++ b/internal/host/daemon/partguard.go
@@ -17,6 +17,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/caller/chat"
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
+	"github.com/hemlockcroft/hemlockcroft/internal/platform/partstore"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/crash"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/membership"
@@ -47,11 +48,13 @@
 	daemon     *Daemon
 	crashes    *crash.Detector
 	quarantine *quarantine.Quarantine
+	saver      *partstore.Saver
 	refusals   *expvar.Int
 }
 
 func newPartGuard(d *Daemon) *partGuard {
 	g := &partGuard{daemon: d, crashes: crash.NewDetector(), quarantine: quarantine.New(), refusals: new(expvar.Int)}
+	g.saver = partstore.New(g.quarantine, g, g)
 	d.vars.Set("quarantine", expvar.Func(g.state))
 	d.vars.Set("quarantine_refusals", g.refusals)
 	return g
@@ -117,11 +120,8 @@
 
 // mayProbe reports whether this router is the one that probes a quarantined set.
 func (g *partGuard) mayProbe(key string) bool {
-	var ids []string
-	for _, p := range g.daemon.members.Live(time.Now()) {
-		ids = append(ids, p.ID)
-	}
-	return rendezvous.First(rendezvous.Key(key), ids) == g.daemon.settings.ID()
+	self, all := g.QuarantineRouters()
+	return rendezvous.First(rendezvous.Key(key), all) == self
 }
 
 // ConnectionLost checks whether an engine that ended a connection has crashed. An
@@ -195,7 +195,11 @@
 		case <-g.quarantine.Wake():
 		}
 		now := clock.Now()
-		for _, c := range g.quarantine.TakeChanges() {
+		changes := g.quarantine.TakeChanges()
+		if len(changes) > 0 {
+			g.saver.Changed()
+		}
+		for _, c := range changes {
 			g.daemon.log.WithFields(c.Entry.Fields(now)).WithFields(logrus.Fields{
 				"event": "quarantine", "change": c.Kind, "from_peer": c.FromPeer,
 			}).Warn("quarantine of messages changed")
--- a/internal/host/edge/crash.go
+++ b/internal/host/edge/crash.go
@@ -49,10 +49,7 @@
 // logQuarantine logs and counts changes of the quarantined sets of parts.
 func (e *Edge) logQuarantine(now clock.Instant, changes []quarantine.Change) {
 	if len(changes) > 0 {
-		select {
-		case e.quarantineChanged <- struct{}{}:
-		default:
-		}
+		e.quarantineSaver.Changed()
 	}
 	for _, c := range changes {
 		e.counters.Add("quarantine_"+c.Kind, 1)
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/host/rungroup"
 	"github.com/hemlockcroft/hemlockcroft/internal/operator/admin"
+	"github.com/hemlockcroft/hemlockcroft/internal/platform/partstore"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/activeconfig"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/balance"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/budget"
@@ -72,6 +73,7 @@
 	coldStart            *budget.ColdStart
 	prefixIndex          *prefix.Index
 	quarantine           *quarantine.Quarantine
+	quarantineSaver      *partstore.Saver
 	pools                *http1.Pools
 	metrics              *admin.Metrics
 	counters             *expvar.Map
@@ -87,10 +89,6 @@
 	upstreamsListed atomic.Bool
 	// peersListed is set after the first listing of the routers.
 	peersListed atomic.Bool
-	// quarantineChanged receives a value when the quarantined sets have changed.
-	quarantineChanged chan struct{}
-	// savedSets is the quarantine.Sets of what the store holds, empty if unknown.
-	savedSets atomic.Pointer[string]
 	// storeFailures counts consecutive failed calls to the store.
 	storeFailures atomic.Int64
 
@@ -110,7 +108,6 @@
 		health:               balance.NewHealth(),
 		prefixIndex:          prefix.New(s.ReuseWindow()),
 		quarantine:           quarantine.New(),
-		quarantineChanged:    make(chan struct{}, 1),
 		pools:                http1.NewPools(),
 		metrics:              admin.NewMetrics(),
 		counters:             new(expvar.Map).Init(),
@@ -120,7 +117,7 @@
 		operatorStateTracker: newTopicTracker(gossip.OperatorState, time.Duration(maxAgeShare*float64(s.MaxConfigDelay())), 0),
 		upstreamsTracker:     newTopicTracker(gossip.Upstreams, time.Duration(maxAgeShare*float64(s.MaxDrainDelay())), time.Duration(settleShare*float64(s.MaxDrainDelay()))),
 	}
-	e.savedSets.Store(new(string))
+	e.quarantineSaver = partstore.New(e.quarantine, store, e)
 	factor, slack := s.ColdStart()
 	e.coldStart = budget.NewColdStart(s.Name(), factor, slack)
 	e.gateway = forward.New(forward.Dependencies{
@@ -156,7 +153,7 @@
 	g.Go("receive digests", e.receiveDatagrams)
 	g.Go("send digests", e.sendDigests)
 	g.Go("spread facts", e.spreadFacts)
-	g.Go("save quarantine", e.saveQuarantine)
+	g.Go("save quarantine", e.quarantineSaver.Run)
 	g.Go("housekeeping", e.housekeeping)
 	g.Go("relay", e.httpServerTask(e.settings.PeersAddress(), rpc.NewRelayServer(e.relay)))
 	g.Go("readiness", e.httpServerTask(e.settings.ReadinessAddress(), http.HandlerFunc(e.serveReadiness)))
