--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -339,3 +340,30 @@
 		_, _ = io.Copy(io.Discard, r.body)
 	})
 }
+
+// TestCheck guards against a check that leaves a connection open unused, or that takes
+// an upstream without a listener for one that accepts connections.
+func TestCheck(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	}))
+	pool := NewPool(server.Listener.Addr().String())
+	if err := pool.Check(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	res, err := pool.Do(t.Context(), Request{
+		Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}, MaxIdleAge: time.Minute,
+		Matches: func(int, http.Header, bool) bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Close()
+	if n := pool.Dials(); n != 1 {
+		t.Errorf("%d connections for a check and a request, want 1", n)
+	}
+	server.Close()
+	if err := pool.Check(t.Context()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("without a listener: %v", err)
+	}
+}
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -78,10 +78,19 @@
 	if c := p.getIdle(maxIdleAge); c != nil {
 		return c, nil
 	}
+	c, err := p.open(ctx, maxConns)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, err)
+	}
+	return c, nil
+}
+
+// open opens a connection unless maxConns are open, 0 for no bound.
+func (p *Pool) open(ctx context.Context, maxConns int) (*conn, error) {
 	p.mu.Lock()
 	if maxConns > 0 && p.openConns >= maxConns {
 		p.mu.Unlock()
-		return nil, verdict.New(verdict.NotRun, errTooManyConns)
+		return nil, errTooManyConns
 	}
 	p.openConns++
 	p.dials++
@@ -91,23 +100,15 @@
 		p.mu.Lock()
 		p.openConns--
 		p.mu.Unlock()
-		return nil, verdict.New(verdict.NotRun, err)
 	}
-	return c, nil
+	return c, err
 }
 
 // Check reports whether the upstream accepts connections, by opening one, which the
 // next request uses.
 func (p *Pool) Check(ctx context.Context) error {
-	p.mu.Lock()
-	p.openConns++
-	p.dials++
-	p.mu.Unlock()
-	c, err := dial(ctx, p.address)
+	c, err := p.open(ctx, 0)
 	if err != nil {
-		p.mu.Lock()
-		p.openConns--
-		p.mu.Unlock()
 		return err
 	}
 	c.idleTimeout = defaultIdleTimeout
