Send quarantined sets to some peers a second instead of with each digest

Cause: in a fleet of hundreds of hosts, a set in quarantine would have added a datagram to each of the 100 digests a second of every router: 15 KB/s of the 26 that control may take (worked out: 150 bytes each).

Change: once a second each router sends the sets to 8 peers drawn at random, 1.2 KB/s; a router that missed a set gets about 8 copies a second.

Measured: TestDeadlyPartReachesFewUpstreams, with a router that starts late and an outage of the store, and TestQuarantineOutlastsRouters pass.

--- a/internal/host/edge/crash.go
+++ b/internal/host/edge/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -21,6 +20,9 @@
 	// factsFanout is how many peers each round reaches. They pass on what is new to
 	// them, like changes of upstream registrations.
 	factsFanout = 8
+	// snapshotInterval is the time between two rounds of datagrams with the quarantined
+	// sets. A router that missed them gets about factsFanout datagrams in that time.
+	snapshotInterval = time.Second
 )
 
 // maxLoggedRequests limits the requests named in one log line.
@@ -105,19 +107,15 @@
 	}
 }
 
-// sendSnapshot sends the quarantined sets to the peers of a round of digests, which
-// may have missed them.
-func (e *Edge) sendSnapshot(now clock.Instant, round []gossip.Datagram) {
-	snapshot := e.quarantine.Snapshot(now)
-	if len(snapshot) == 0 {
-		return
-	}
-	var addresses []string
-	for _, d := range round {
-		addresses = append(addresses, d.Address())
+// sendSnapshots sends the quarantined sets to some peers periodically, for those that
+// have missed them.
+func (e *Edge) sendSnapshots(ctx context.Context) error {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, snapshotInterval)
+		now := clock.Now()
+		e.sendFacts(e.quarantine.Snapshot(now), e.gossipState.SampleAddresses(now, factsFanout))
 	}
-	slices.Sort(addresses)
-	e.sendFacts(snapshot, slices.Compact(addresses))
+	return ctx.Err()
 }
 
 // receiveFacts adds the facts in a datagram of a peer.
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -153,6 +153,7 @@
 	g.Go("receive digests", e.receiveDatagrams)
 	g.Go("send digests", e.sendDigests)
 	g.Go("spread facts", e.spreadFacts)
+	g.Go("send snapshots", e.sendSnapshots)
 	g.Go("save quarantine", e.quarantineSaver.Run)
 	g.Go("housekeeping", e.housekeeping)
 	g.Go("relay", e.httpServerTask(e.settings.PeersAddress(), rpc.NewRelayServer(e.relay)))
--- a/internal/host/edge/peers.go
+++ b/internal/host/edge/peers.go
@@ -227,7 +227,6 @@
 		now := clock.Now()
 		e.gossipState.QueueOutcomes(e.health.TakeOutcomes())
 		datagrams := e.gossipState.NextRound(now)
-		e.sendSnapshot(now, datagrams)
 		names, others := e.peersToQuery(now)
 		datagrams = append(datagrams, e.gossipState.Queries(now, names, others)...)
 		for _, d := range datagrams {
