Check for a crash also after the deadline; call failed probes by their name

Cause: the check used the request's context, so a crash at the end of its time was not seen. Strikes was a word of its own for failed probes.

Change: the check has its own time limit only. The fields, the accessor and the scripts say failed probes; the encoded names stay.

Measured: scripts of package quarantine pass.

--- a/internal/router/forward/crash.go
+++ b/internal/router/forward/crash.go
@@ -31,7 +31,8 @@
 	if !j.Crashes.RecordBroken(now, u.Engine(), u.ID(), j.serviceName, crash.Request{ID: j.info.ID, Parts: j.info.Parts}) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(j.ctx, crashCheckTimeout)
+	// A crash is evidence also if the time of the request is over.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(j.ctx), crashCheckTimeout)
 	defer cancel()
 	switch err := j.Pools.Get(u.ID(), u.Incarnation(), u.Address()).Check(ctx); {
 	case err == nil:
--- a/internal/router/quarantine/decide.go
+++ b/internal/router/quarantine/decide.go
@@ -183,12 +183,12 @@
 
 // extend starts the next time of quarantine after a probe that crashed an upstream.
 func (e *Entry) extend(now clock.Instant) {
-	e.strikes++
-	e.until = now.Add(quarantineTime(e.strikes))
+	e.failedProbes++
+	e.until = now.Add(quarantineTime(e.failedProbes))
 }
 
 // quarantineTime returns the time until the next probe after a number of probes that
 // crashed an upstream.
-func quarantineTime(strikes int) time.Duration {
-	return min(minQuarantine<<min(strikes, 8), maxQuarantine)
+func quarantineTime(failedProbes int) time.Duration {
+	return min(minQuarantine<<min(failedProbes, 8), maxQuarantine)
 }
--- a/internal/router/quarantine/document.go
+++ b/internal/router/quarantine/document.go
@@ -70,7 +70,7 @@
 func Sets(entries []Entry) string {
 	var lines []string
 	for _, e := range entries {
-		lines = append(lines, setLine(e.parts, e.strikes))
+		lines = append(lines, setLine(e.parts, e.failedProbes))
 	}
 	return joinLines(lines)
 }
@@ -80,13 +80,15 @@
 	var lines []string
 	for _, f := range facts {
 		if f.Kind == entryNews {
-			lines = append(lines, setLine(normalize(f.Parts), f.Strikes))
+			lines = append(lines, setLine(normalize(f.Parts), f.FailedProbes))
 		}
 	}
 	return joinLines(lines)
 }
 
-func setLine(parts []Part, strikes int) string { return strconv.Itoa(strikes) + " " + setKey(parts) }
+func setLine(parts []Part, failedProbes int) string {
+	return strconv.Itoa(failedProbes) + " " + setKey(parts)
+}
 
 func joinLines(lines []string) string {
 	slices.Sort(lines)
--- a/internal/router/quarantine/fact.go
+++ b/internal/router/quarantine/fact.go
@@ -60,8 +60,8 @@
 	// FirstAgeMS is the age of the first crash.
 	FirstAgeMS int64 `json:"f,omitempty"`
 	// LeftMS is the time until a probe, negative after it.
-	LeftMS  int64 `json:"l,omitempty"`
-	Strikes int   `json:"k,omitempty"`
+	LeftMS       int64 `json:"l,omitempty"`
+	FailedProbes int   `json:"k,omitempty"`
 }
 
 func (f Fact) check() error {
@@ -79,7 +79,7 @@
 		}
 	}
 	if !between(f.AgeMS, 0, evidenceTTL+probation+maxQuarantine) || !between(f.FirstAgeMS, 0, math.MaxInt64) || !between(f.LeftMS, -probation, maxQuarantine) ||
-		f.Strikes < 0 || f.Strikes > maxCount || f.Crashes < 0 || f.Crashes > maxCount {
+		f.FailedProbes < 0 || f.FailedProbes > maxCount || f.Crashes < 0 || f.Crashes > maxCount {
 		return fmt.Errorf("%w: numbers out of range", errInvalidFact)
 	}
 	switch f.Kind {
@@ -202,7 +202,7 @@
 func (e Entry) fact(now clock.Instant) Fact {
 	return Fact{
 		Kind: entryNews, Parts: e.parts, AgeMS: age(now, e.lastAt), FirstAgeMS: age(now, e.firstAt), Upstreams: e.upstreams,
-		Crashes: e.crashes, LeftMS: e.until.Sub(now).Milliseconds(), Strikes: e.strikes,
+		Crashes: e.crashes, LeftMS: e.until.Sub(now).Milliseconds(), FailedProbes: e.failedProbes,
 	}
 }
 
@@ -260,8 +260,8 @@
 	until := now.Add(time.Duration(f.LeftMS) * time.Millisecond)
 	if e := q.entries[key]; e != nil {
 		e.crashes, e.lastAt = max(e.crashes, f.Crashes), max(e.lastAt, lastAt)
-		if f.Strikes > e.strikes {
-			e.strikes, e.until = f.Strikes, max(e.until, until)
+		if f.FailedProbes > e.failedProbes {
+			e.failedProbes, e.until = f.FailedProbes, max(e.until, until)
 			q.tell(news{kind: entryNews, key: key})
 			q.report(Change{Kind: Extended, Entry: *e, FromPeer: true})
 		}
@@ -272,7 +272,7 @@
 	}
 	e := &Entry{
 		parts: parts, crashes: f.Crashes, upstreams: f.Upstreams, firstAt: now.Add(-time.Duration(f.FirstAgeMS) * time.Millisecond),
-		lastAt: lastAt, until: until, strikes: f.Strikes,
+		lastAt: lastAt, until: until, failedProbes: f.FailedProbes,
 	}
 	q.entries[key], q.changed = e, true
 	q.tell(news{kind: entryNews, key: key})
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -72,8 +72,8 @@
 	// until is the time of the first probe, and nextProbe that of the next one.
 	until     clock.Instant
 	nextProbe clock.Instant
-	// strikes counts the probes that crashed an upstream.
-	strikes int
+	// failedProbes counts the probes that crashed an upstream.
+	failedProbes int
 }
 
 // Parts returns the parts of the set in ascending order.
@@ -98,8 +98,8 @@
 	return max(e.TimeLeft(now), probeRetryAfter)
 }
 
-// Strikes returns the number of probes that crashed an upstream.
-func (e Entry) Strikes() int { return e.strikes }
+// FailedProbes returns the number of probes that crashed an upstream.
+func (e Entry) FailedProbes() int { return e.failedProbes }
 
 // Fields returns what the log and the metrics show of the set: its parts, the evidence
 // with its age, and the time left, in ms.
@@ -110,7 +110,7 @@
 		names[i] = string(p)
 	}
 	return map[string]any{
-		"parts": strings.Join(names, "+"), "crashes": e.crashes, "upstreams": strings.Join(e.upstreams, " "), "failed_probes": e.strikes,
+		"parts": strings.Join(names, "+"), "crashes": e.crashes, "upstreams": strings.Join(e.upstreams, " "), "failed_probes": e.failedProbes,
 		"first_crash_ms": first.Milliseconds(), "last_crash_ms": last.Milliseconds(), "left_ms": e.TimeLeft(now).Milliseconds(),
 	}
 }
--- a/internal/router/quarantine/quarantine_test.go
+++ b/internal/router/quarantine/quarantine_test.go
@@ -30,7 +30,7 @@
 
 func (s *script) report(router string) {
 	for _, c := range s.router(router).TakeChanges() {
-		fmt.Fprintf(&s.output, "%s: %s %s crashes=%d left=%s strikes=%d peer=%t\n", router, c.Kind, names(c.Entry.Parts()), c.Entry.Crashes(), c.Entry.TimeLeft(s.now), c.Entry.Strikes(), c.FromPeer)
+		fmt.Fprintf(&s.output, "%s: %s %s crashes=%d left=%s failed=%d peer=%t\n", router, c.Kind, names(c.Entry.Parts()), c.Entry.Crashes(), c.Entry.TimeLeft(s.now), c.Entry.FailedProbes(), c.FromPeer)
 	}
 }
 
@@ -190,7 +190,7 @@
 	savedAt := time.UnixMilli(1_800_000_000_000)
 	facts := []Fact{
 		{Kind: entryNews, Parts: partsOf("x"), Crashes: 3, AgeMS: 1000, FirstAgeMS: 2000, LeftMS: 60_000},
-		{Kind: entryNews, Parts: partsOf("y,z"), Crashes: 5, AgeMS: 1000, FirstAgeMS: 2000, LeftMS: -probation.Milliseconds() + 5000, Strikes: 2},
+		{Kind: entryNews, Parts: partsOf("y,z"), Crashes: 5, AgeMS: 1000, FirstAgeMS: 2000, LeftMS: -probation.Milliseconds() + 5000, FailedProbes: 2},
 	}
 	document, err := EncodeDocument(facts, savedAt)
 	if err != nil {
