Quarantine parts that were never sound first, and give up a wrong choice

Cause: of two requests in progress at the same three crashes, the one with more unknown parts was chosen. A wrong set stayed until its time was over, since its own requests could not succeed. Peers did not repeat that a part is sound to a router that started later and read the old set from the store.

Change: a part that was known to be sound at any time needs five crashes and comes after others; sets that explain the same crashes equally wait for another crash, up to five; the choice is made anew from all evidence, and a set that others explain is given up (superseded); a peer that quarantines a sound part is answered. Routers tell each other also earlier successes of accused parts.

--- a/internal/router/quarantine/decide.go
+++ b/internal/router/quarantine/decide.go
@@ -23,11 +23,31 @@
 	crashes map[Crash]*crash
 	first   clock.Instant
 	last    clock.Instant
+	// novel is set if a part of the set is not known to have been sound at any time.
+	novel bool
 }
 
 // sufficient reports whether there are enough crashes.
 func (s *suspicion) sufficient() bool {
-	return len(s.crashes) >= minCrashes && s.last.Sub(s.first) >= minSpan
+	enough := manyCrashes
+	if s.novel {
+		enough = minCrashes
+	}
+	return len(s.crashes) >= enough && s.last.Sub(s.first) >= minSpan
+}
+
+// rivals reports whether another suspicion explains the same crashes as well, by parts
+// of other requests, so that only more crashes can tell them apart.
+func (s *suspicion) rivals(o *suspicion) bool {
+	if s.novel != o.novel || len(s.crashes) != len(o.crashes) || len(s.crashes) >= manyCrashes || len(intersect(s.set, o.set)) > 0 {
+		return false
+	}
+	for id := range s.crashes {
+		if o.crashes[id] == nil {
+			return false
+		}
+	}
+	return true
 }
 
 // specific reports whether a request without the set succeeded since the first crash.
@@ -45,10 +65,13 @@
 	q.narrow()
 	explained := map[Crash]bool{}
 	for _, e := range q.entries {
-		q.markExplained(explained, e.parts)
+		if !q.hasEvidence(e) {
+			q.markExplained(explained, e.parts)
+		}
 	}
-	for len(q.entries) < maxEntries {
-		s := strongest(sightings, explained)
+	cover := map[string]*suspicion{}
+	for len(cover) < maxEntries {
+		s := q.strongest(sightings, explained)
 		if s == nil {
 			break
 		}
@@ -56,15 +79,49 @@
 			q.awaitsSuccess = true
 			break
 		}
-		e := newEntry(now, s)
-		q.entries[setKey(e.parts)] = e
-		q.tell(news{kind: entryNews, key: setKey(e.parts)})
-		q.report(Change{Kind: Quarantined, Entry: *e})
-		q.markExplained(explained, e.parts)
+		cover[setKey(s.set)] = s
+		q.markExplained(explained, s.set)
 	}
+	q.applyCover(now, cover, explained)
 	q.updateAccused()
 }
 
+// hasEvidence reports whether this router knows the crashes of a quarantined set, so
+// that it can judge it.
+func (q *Quarantine) hasEvidence(e *Entry) bool { return q.countCrashes(e.parts) >= minCrashes }
+
+// applyCover quarantines the sets that explain the crashes, and drops those of which
+// others explain all crashes.
+func (q *Quarantine) applyCover(now clock.Instant, cover map[string]*suspicion, explained map[Crash]bool) {
+	for _, key := range slices.Sorted(maps.Keys(q.entries)) {
+		e := q.entries[key]
+		if cover[key] == nil && q.hasEvidence(e) && q.allExplained(e.parts, explained) {
+			delete(q.entries, key)
+			q.report(Change{Kind: Superseded, Entry: *e})
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(cover)) {
+		if q.entries[key] != nil || len(q.entries) >= maxEntries {
+			continue
+		}
+		e := newEntry(now, cover[key])
+		q.entries[key] = e
+		q.tell(news{kind: entryNews, key: key})
+		q.report(Change{Kind: Quarantined, Entry: *e})
+	}
+}
+
+// allExplained reports whether all crashes at which a request with all parts of a set
+// was in progress are explained.
+func (q *Quarantine) allExplained(set []Part, explained map[Crash]bool) bool {
+	for id, c := range q.crashes {
+		if !explained[id] && c.shows(set) {
+			return false
+		}
+	}
+	return true
+}
+
 // updateAccused determines the parts against which there is evidence.
 func (q *Quarantine) updateAccused() {
 	clear(q.accused)
@@ -139,26 +196,54 @@
 }
 
 // strongest returns the strongest sufficient suspicion from the crashes that are not
-// explained, nil if there is none: the largest set, which forbids the fewest
-// requests, and among these the one with the most crashes.
-func strongest(sightings []sighting, explained map[Crash]bool) *suspicion {
-	suspicions := map[Part]*suspicion{}
+// explained, nil if there is none: one against a part that was never known to be sound
+// before others, then the one with the most crashes. A larger set that is sufficient
+// by itself goes before its subsets, since it forbids fewer requests.
+func (q *Quarantine) strongest(sightings []sighting, explained map[Crash]bool) *suspicion {
+	list := q.suspicions(sightings, explained)
+	for _, s := range list {
+		if slices.ContainsFunc(list, s.rivals) {
+			continue
+		}
+		for _, o := range list {
+			if len(o.set) > len(s.set) && containsAll(o.set, s.set) {
+				s = o
+			}
+		}
+		return s
+	}
+	return nil
+}
+
+// suspicions returns the sufficient suspicions, the strongest first.
+func (q *Quarantine) suspicions(sightings []sighting, explained map[Crash]bool) []*suspicion {
+	byPart := map[Part]*suspicion{}
 	for _, s := range sightings {
 		if explained[s.id] {
 			continue
 		}
 		for _, p := range s.parts {
-			suspicions[p] = suspicions[p].add(s)
+			byPart[p] = byPart[p].add(s)
 		}
 	}
-	var best *suspicion
-	for _, p := range slices.Sorted(maps.Keys(suspicions)) {
-		s := suspicions[p]
-		if s.sufficient() && (best == nil || cmp.Or(cmp.Compare(len(s.set), len(best.set)), cmp.Compare(len(s.crashes), len(best.crashes))) > 0) {
-			best = s
+	var list []*suspicion
+	for _, p := range slices.Sorted(maps.Keys(byPart)) {
+		s := byPart[p]
+		s.novel = slices.ContainsFunc(s.set, func(p Part) bool { _, known := q.sound[p]; return !known })
+		if s.sufficient() {
+			list = append(list, s)
 		}
 	}
-	return best
+	slices.SortStableFunc(list, func(a, b *suspicion) int {
+		if a.novel != b.novel {
+			if a.novel {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(b.set), len(a.set)))
+	})
+	return list
 }
 
 func (s *suspicion) add(o sighting) *suspicion {
--- a/internal/router/quarantine/evidence.go
+++ b/internal/router/quarantine/evidence.go
@@ -47,7 +47,8 @@
 	}
 	q.tell(news{kind: crashNews, crash: id, key: key})
 	for _, p := range parts {
-		if q.soundAt(p, c.at) {
+		// An earlier success is no proof, but makes other parts more suspicious.
+		if _, known := q.sound[p]; known {
 			q.tellSound(p)
 		}
 	}
--- a/internal/router/quarantine/fact.go
+++ b/internal/router/quarantine/fact.go
@@ -251,7 +251,12 @@
 	parts := normalize(f.Parts)
 	sound := slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return !q.soundAt(p, lastAt) })
 	for _, p := range sound {
-		q.tellSound(p)
+		// The peer may have started after the part was told to be sound.
+		if r, ok := q.replied[p]; !ok || now.Sub(r) >= replyInterval {
+			q.replied[p] = now
+			delete(q.told, p)
+			q.tellSound(p)
+		}
 	}
 	if parts = slices.DeleteFunc(parts, func(p Part) bool { return slices.Contains(sound, p) }); len(parts) == 0 {
 		return
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// minCrashes is the number of crashes after which parts are quarantined.
-	minCrashes = 3
+	// minCrashes is the number of crashes after which parts are quarantined, and
+	// manyCrashes that for parts that were sound before, or that cannot be told from
+	// others with the same crashes.
+	minCrashes  = 3
+	manyCrashes = 5
 	// minSpan is the time that these crashes must span. Peers need it to report a
 	// part as sound when many upstreams crash at once for another reason.
 	minSpan = 300 * time.Millisecond
@@ -38,8 +41,13 @@
 	probation = 10 * time.Minute
 	// evidenceTTL is how long crashes count.
 	evidenceTTL = 10 * time.Minute
-	// successTTL is how long successes of parts without evidence are kept.
-	successTTL = 5 * time.Second
+	// successTTL is how long successes of parts without evidence are kept, and
+	// crowdedSuccessTTL while there are too many.
+	successTTL        = 2 * time.Minute
+	crowdedSuccessTTL = 5 * time.Second
+	// replyInterval is the time between two replies to peers that quarantine a part
+	// which is sound.
+	replyInterval = time.Second
 
 	maxCrashes            = 128
 	maxSightingsPerCrash  = 32
@@ -125,6 +133,8 @@
 	Extended = "extended"
 	// Released means that all parts of a set are sound.
 	Released = "released"
+	// Superseded means that another set explains all crashes of a set.
+	Superseded = "superseded"
 	// Expired means that nobody requested a set for a long time.
 	Expired = "expired"
 )
@@ -148,6 +158,8 @@
 	sound map[Part]clock.Instant
 	// told maps parts to the newest time in sound that peers have been told.
 	told map[Part]clock.Instant
+	// replied maps parts to the last reply to a peer that quarantines them.
+	replied map[Part]clock.Instant
 	// accused holds the parts against which there is evidence.
 	accused map[Part]bool
 	// lastSuccess is the newest time in sound, also of parts that were forgotten.
@@ -167,7 +179,7 @@
 func New() *Quarantine {
 	return &Quarantine{
 		crashes: map[Crash]*crash{}, entries: map[string]*Entry{}, sound: map[Part]clock.Instant{}, told: map[Part]clock.Instant{},
-		accused: map[Part]bool{}, wake: make(chan struct{}, 1),
+		replied: map[Part]clock.Instant{}, accused: map[Part]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -230,7 +242,7 @@
 	defer q.mu.Unlock()
 	for _, p := range parts {
 		if _, known := q.sound[p]; !known && len(q.sound) >= maxSound {
-			q.forgetSuccesses(now)
+			q.forgetSuccesses(now, crowdedSuccessTTL)
 			if len(q.sound) >= maxSound && !q.accused[p] {
 				continue
 			}
@@ -255,9 +267,9 @@
 	return ok && at <= s.Add(soundMargin)
 }
 
-// forgetSuccesses drops the successes that are neither recent nor needed to judge
-// the evidence.
-func (q *Quarantine) forgetSuccesses(now clock.Instant) {
+// forgetSuccesses drops the successes that are older than a time and not needed to
+// judge the evidence.
+func (q *Quarantine) forgetSuccesses(now clock.Instant, ttl time.Duration) {
 	seen := map[Part]bool{}
 	for _, c := range q.crashes {
 		for _, parts := range c.sightings {
@@ -268,9 +280,10 @@
 	}
 	for p, at := range q.sound {
 		age := now.Sub(at)
-		if age > evidenceTTL || age > successTTL && !seen[p] && !q.accused[p] {
+		if age > evidenceTTL || age > ttl && !seen[p] && !q.accused[p] {
 			delete(q.sound, p)
 			delete(q.told, p)
+			delete(q.replied, p)
 		}
 	}
 }
@@ -285,7 +298,7 @@
 			q.changed = true
 		}
 	}
-	q.forgetSuccesses(now)
+	q.forgetSuccesses(now, successTTL)
 	for key, e := range q.entries {
 		if now.Sub(e.until) > probation {
 			delete(q.entries, key)
