--- a/internal/router/quarantine/doc.go
+++ b/internal/router/quarantine/doc.go
@@ -15,10 +15,14 @@
 // # Decision
 //
 // Parts that are in progress at minCrashes crashes, and not known to be sound, are
-// quarantined. Parts that always occur together at these crashes cannot be told
-// apart, so only requests with all of them are refused; a request with some of them
-// shows which ones are sound. A crash that a quarantined set explains is no
-// evidence against the other requests at that upstream.
+// quarantined. It takes manyCrashes if they were sound at an earlier time, or if parts
+// of other requests were in progress at the same crashes. Parts that always occur
+// together cannot be told apart, so only requests with all of them are refused; a
+// request with some of them shows which ones are sound.
+//
+// The sets are chosen so that few of them explain all crashes. A crash that a set
+// explains is no evidence against the other requests at that upstream. The choice is
+// made anew with each new fact, and a set whose crashes others explain is given up.
 //
 // # Return
 //
