Bound what is kept and logged of requests at crashes

Cause: a request's parts were kept for the log as the caller sent them, up to the size of a header each, and connections that broke without a crash were dropped only when another one broke.

Change: the detector keeps the bounded parts that the decision uses, and expires with the housekeeping. The tests of package daemon take an own loopback address for each listener.

Measured: TestDetector, TestDetectorBounds pass. TestQuarantineOutlastsRouters of package daemon failed once ('address already in use': a port that another test of the package had taken meanwhile); three runs with own addresses pass.

--- a/internal/host/daemon/control.go
+++ b/internal/host/daemon/control.go
@@ -6,7 +6,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/platform/hosts"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/membership"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/owner"
@@ -54,7 +53,7 @@
 		d.requestConfigFetch(address, version)
 	}
 	if exchange {
-		d.guard.quarantine.Expire(clock.Now())
+		d.guard.expire()
 		d.sendExchanges(ctx, now)
 	}
 	d.claims.Step(now)
--- a/internal/host/daemon/fleet_test.go
+++ b/internal/host/daemon/fleet_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,9 +21,16 @@
 
 const testSecret = "a-secret-of-the-tests"
 
+// loopbackAddressCount counts the addresses that freeAddress has returned.
+var loopbackAddressCount atomic.Uint32
+
+// freeAddress returns an address that nothing listens on. Each call uses a different
+// loopback IP, so that no other test or connection can take the port.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := loopbackAddressCount.Add(1)
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+n/250, 1+n%250)
+	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/host/daemon/partguard.go
+++ b/internal/host/daemon/partguard.go
@@ -38,8 +38,6 @@
 	factsTimeout = 500 * time.Millisecond
 	// maxFactsMessage limits one message in bytes.
 	maxFactsMessage = 32 << 10
-	// maxLoggedRequests limits the requests named in one log line.
-	maxLoggedRequests = 8
 )
 
 // partGuard keeps chats with messages on which engines crash from the engines. It
@@ -131,7 +129,7 @@
 		return
 	}
 	id := prefix.EngineIDOf(a.Upstream, 0)
-	if !g.crashes.RecordBroken(clock.Now(), id, a.Upstream, a.Model, crash.Request{ID: a.RequestID, Parts: partNames(a.Parts)}) {
+	if !g.crashes.RecordBroken(clock.Now(), id, a.Upstream, a.Model, crash.Request{ID: a.RequestID, Parts: partsOf(a.Model, a.Parts)}) {
 		return
 	}
 	// The caller may have left.
@@ -152,22 +150,20 @@
 // recordCrash logs a crash with the chats of this router that were in progress, and
 // takes their messages as evidence.
 func (g *partGuard) recordCrash(r crash.Report) {
-	requests := r.Requests()
-	var list []string
-	var parts [][]quarantine.Part
-	for i, q := range requests {
-		parts = append(parts, quarantine.NewParts(r.Service(), q.Parts))
-		if i < maxLoggedRequests {
-			list = append(list, q.ID+"="+strings.Join(q.Parts, "+"))
-		}
-	}
 	g.daemon.log.WithFields(logrus.Fields{
 		"event": "engine-crash", "upstream": r.Upstream(), "model": r.Service(), "age_ms": clock.Since(r.At()).Milliseconds(),
-		"in_progress": len(requests), "requests": strings.Join(list, " "),
+		"in_progress": len(r.Requests()), "requests": r.Text(),
 	}).Warn("engine crashed")
 	// The incarnation is unknown; the time tells the crashes of an engine apart.
 	id := quarantine.Crash(prefix.EngineIDOf(r.Upstream(), int64(r.At())))
-	g.quarantine.AddCrash(clock.Now(), id, r.At(), r.Upstream(), parts)
+	g.quarantine.AddCrash(clock.Now(), id, r.At(), r.Upstream(), r.Parts())
+}
+
+// expire drops what is too old.
+func (g *partGuard) expire() {
+	now := clock.Now()
+	g.crashes.Expire(now)
+	g.quarantine.Expire(now)
 }
 
 // Succeeded records that the response to a chat began at a time and is complete.
--- a/internal/host/edge/crash.go
+++ b/internal/host/edge/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,27 +24,15 @@
 	snapshotInterval = time.Second
 )
 
-// maxLoggedRequests limits the requests named in one log line.
-const maxLoggedRequests = 8
-
 // recordCrash logs the crash of an upstream with the requests of this router that were
 // in progress there, and takes the parts of their prompts as evidence.
 func (e *Edge) recordCrash(r crash.Report) {
 	e.counters.Add("upstream_crashes", 1)
-	requests := r.Requests()
-	var list []string
-	for _, q := range requests[:min(len(requests), maxLoggedRequests)] {
-		list = append(list, q.ID+"="+strings.Join(q.Parts, "+"))
-	}
 	e.log.WithFields(logrus.Fields{
 		"upstream": r.Upstream(), "service": r.Service(), "age_ms": clock.Since(r.At()).Milliseconds(),
-		"in_progress": len(requests), "requests": strings.Join(list, " "),
+		"in_progress": len(r.Requests()), "requests": r.Text(),
 	}).Warn("upstream crashed")
-	var parts [][]quarantine.Part
-	for _, q := range requests {
-		parts = append(parts, quarantine.NewParts(r.Service(), q.Parts))
-	}
-	e.quarantine.AddCrash(clock.Now(), quarantine.Crash(r.Engine()), r.At(), r.Upstream(), parts)
+	e.quarantine.AddCrash(clock.Now(), quarantine.Crash(r.Engine()), r.At(), r.Upstream(), r.Parts())
 }
 
 // logQuarantine logs and counts changes of the quarantined sets of parts.
--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -72,6 +72,7 @@
 	health               *balance.Health
 	coldStart            *budget.ColdStart
 	prefixIndex          *prefix.Index
+	crashes              *crash.Detector
 	quarantine           *quarantine.Quarantine
 	quarantineSaver      *partstore.Saver
 	pools                *http1.Pools
@@ -107,6 +108,7 @@
 		gossipState:          gossip.New(s.Name(), uint64(time.Now().UnixNano())),
 		health:               balance.NewHealth(),
 		prefixIndex:          prefix.New(s.ReuseWindow()),
+		crashes:              crash.NewDetector(),
 		quarantine:           quarantine.New(),
 		pools:                http1.NewPools(),
 		metrics:              admin.NewMetrics(),
@@ -122,7 +124,7 @@
 	e.coldStart = budget.NewColdStart(s.Name(), factor, slack)
 	e.gateway = forward.New(forward.Dependencies{
 		Protocol: protocol, ActiveConfig: e.activeConfig, Directory: e.directory, Gossip: e.gossipState, Health: e.health,
-		Balancer: balance.New(s.LoadFactor()), RetryBudget: budget.NewRetry(s.Retries()), ColdStart: e.coldStart, Pools: e.pools, PrefixIndex: e.prefixIndex, Crashes: crash.NewDetector(), Quarantine: e.quarantine,
+		Balancer: balance.New(s.LoadFactor()), RetryBudget: budget.NewRetry(s.Retries()), ColdStart: e.coldStart, Pools: e.pools, PrefixIndex: e.prefixIndex, Crashes: e.crashes, Quarantine: e.quarantine,
 		Observer: e.metrics, Log: log, FailureDomain: s.FailureDomain(), Regions: s.Regions(),
 		StartupGate: e.startupGate, ReportOverload: e.announceOverload, ReportCrash: e.recordCrash,
 		MayProbe:         e.mayProbe,
@@ -242,6 +244,7 @@
 		e.pools.Retain(now, ids)
 		e.health.Retain(now, ids)
 		e.coldStart.Retain(ids)
+		e.crashes.Expire(now)
 		e.quarantine.Expire(now)
 	}
 	return ctx.Err()
--- a/internal/router/crash/detector.go
+++ b/internal/router/crash/detector.go
@@ -1,11 +1,13 @@
 package crash
 
 import (
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 )
 
 const (
@@ -22,8 +24,8 @@
 type Request struct {
 	// ID is the request's ID.
 	ID string
-	// Parts names the parts of its prompt that other requests share.
-	Parts []string
+	// Parts are the parts of its prompt that other requests share.
+	Parts []quarantine.Part
 }
 
 // Report describes a crash: the end of one incarnation of an upstream.
@@ -50,6 +52,31 @@
 // Requests returns the requests of this router that were in progress.
 func (r Report) Requests() []Request { return r.requests }
 
+// maxListedRequests limits the requests that a text lists.
+const maxListedRequests = 8
+
+// Text lists some of the requests with their parts, for the log.
+func (r Report) Text() string {
+	var list []string
+	for _, q := range r.requests[:min(len(r.requests), maxListedRequests)] {
+		names := make([]string, len(q.Parts))
+		for i, p := range q.Parts {
+			names[i] = p.Name()
+		}
+		list = append(list, q.ID+"="+strings.Join(names, "+"))
+	}
+	return strings.Join(list, " ")
+}
+
+// Parts returns the parts of each request.
+func (r Report) Parts() [][]quarantine.Part {
+	list := make([][]quarantine.Part, len(r.requests))
+	for i, q := range r.requests {
+		list[i] = q.Parts
+	}
+	return list
+}
+
 // Detector collects broken connections until it is known whether their upstream
 // crashed. It is safe for concurrent use.
 type Detector struct {
@@ -105,6 +132,13 @@
 	return *r, true
 }
 
+// Expire drops the connections that broke long ago.
+func (d *Detector) Expire(now clock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+}
+
 func (d *Detector) expire(now clock.Instant) {
 	for engine, r := range d.broken {
 		if now.Sub(r.at) > brokenTTL {
--- a/internal/router/crash/detector_test.go
+++ b/internal/router/crash/detector_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/prefix"
+	"github.com/hemlockcroft/hemlockcroft/internal/router/quarantine"
 )
 
 // TestDetector guards against taking a broken connection of an upstream that goes on
@@ -13,7 +14,7 @@
 func TestDetector(t *testing.T) {
 	d := NewDetector()
 	now := clock.Instant(time.Hour)
-	if !d.RecordBroken(now, 1, "a", "model", Request{"r1", []string{"x"}}) {
+	if !d.RecordBroken(now, 1, "a", "model", Request{"r1", []quarantine.Part{"model/x", "model/y"}}) {
 		t.Error("the first broken connection is not reported as the first")
 	}
 	if d.RecordBroken(now.Add(time.Millisecond), 1, "a", "model", Request{"r2", nil}) {
@@ -23,6 +24,9 @@
 	if !ok || r.Upstream() != "a" || r.Service() != "model" || r.Engine() != 1 || r.At() != now || len(r.Requests()) != 2 {
 		t.Errorf("report %+v, %t", r, ok)
 	}
+	if r.Text() != "r1=x+y r2=" || len(r.Parts()) != 2 || len(r.Parts()[0]) != 2 {
+		t.Errorf("%q, %v", r.Text(), r.Parts())
+	}
 	if _, ok := d.Gone(now.Add(time.Second), 1); ok {
 		t.Error("one crash is reported twice")
 	}
@@ -51,4 +55,8 @@
 	if len(d.broken) != 1 {
 		t.Errorf("%d upstreams after the time limit", len(d.broken))
 	}
+	d.Expire(now.Add(4 * brokenTTL))
+	if len(d.broken) != 0 {
+		t.Errorf("%d upstreams left", len(d.broken))
+	}
 }
