--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -77,18 +77,17 @@
 
 // stream is one call in progress.
 type stream struct {
-	client    *Client
-	ctx       context.Context
-	call      Call
-	deliver   func(Chunk) error
-	sequencer *sequencer
-	result    Result
-	response  *http.Response
-	cancel    context.CancelCauseFunc
-	readTimer *time.Timer
-	connected bool
-	// reused is set if the current connection served another request before.
-	reused     bool
+	client     *Client
+	ctx        context.Context
+	call       Call
+	deliver    func(Chunk) error
+	sequencer  *sequencer
+	result     Result
+	response   *http.Response
+	cancel     context.CancelCauseFunc
+	readTimer  *time.Timer
+	connected  bool
+	reused     bool // the current connection served another request before
 	start      time.Time
 	deliverErr error // error of the receiver of the chunks
 }
