Tell peers of a cold start that begins within an earlier one

Cause: a watcher passes on a registration if the hash of the state changes, which holds only whether the upstream is cold. Three seconds after a crash the upstream was made cold once more, before a registration said that the first cold start was over, so the other routers held it to be warm.

Change: an update that ends the cold start more than half a second later than known is passed on as well.

Measured: TestRenewedColdStart, red before (no update for peers after 3.4 s, warm for the peer), passes; packages directory and edge pass.

--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -17,6 +17,10 @@
 // platform promises about two seconds.
 const reregistrationGrace = 2200 * time.Millisecond
 
+// minColdRenewal is how much later a registration must end a cold start to count as a
+// new one. The remaining time is stated in ms and arrives with a delay.
+const minColdRenewal = 500 * time.Millisecond
+
 // Entry is the registration of one upstream.
 type Entry struct {
 	ID            string
@@ -80,6 +84,14 @@
 // Cold reports whether the upstream is in cold start.
 func (u *Upstream) Cold(now clock.Instant) bool { return now < u.coldUntil }
 
+// coldEnd returns the end of the cold start, 0 without an upstream.
+func (u *Upstream) coldEnd() clock.Instant {
+	if u == nil {
+		return 0
+	}
+	return u.coldUntil
+}
+
 // Change is a change of one upstream in the directory, for the log.
 type Change struct {
 	ID    string
@@ -215,18 +227,19 @@
 
 // Apply applies changes of registrations. It returns the resulting changes of the
 // directory for the log, and the updates that changed the state which Hash
-// covers.
+// covers, or renewed a cold start, which it does not show.
 func (d *Directory) Apply(now clock.Instant, updates []Update) (changes []Change, effective []Update) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, u := range updates {
-		before := d.upstreams[u.ID].stateHash()
+		before, coldBefore := d.upstreams[u.ID].stateHash(), d.upstreams[u.ID].coldEnd()
 		if u.Entry == nil {
 			changes = d.remove(now, u.ID, u.Revision, changes)
 		} else {
 			changes = d.upsert(now, *u.Entry, changes)
 		}
-		if d.upstreams[u.ID].stateHash() != before {
+		renewed := d.upstreams[u.ID].coldEnd().Sub(coldBefore) > minColdRenewal
+		if renewed || d.upstreams[u.ID].stateHash() != before {
 			effective = append(effective, u)
 		}
 	}
--- a/internal/router/directory/directory_test.go
+++ b/internal/router/directory/directory_test.go
@@ -97,3 +97,36 @@
 	fmt.Fprintf(&b, "receiving: %s\n", strings.Join(names, " "))
 	return b.String()
 }
+
+// TestRenewedColdStart guards against a cold start that routers other than the watchers
+// do not learn of, since it begins before the end of an earlier one was registered.
+func TestRenewedColdStart(t *testing.T) {
+	begin := clock.Instant(time.Hour)
+	update := func(heartbeat uint64, cold time.Duration) []Update {
+		return []Update{{ID: "a", Revision: heartbeat, Entry: &Entry{ID: "a", Service: "model", Heartbeat: heartbeat, Revision: heartbeat, Incarnation: 1, ColdRemaining: cold}}}
+	}
+	watcher, peer := New(), New()
+	for _, c := range []struct {
+		after     time.Duration
+		cold      time.Duration
+		effective bool
+	}{
+		{0, 3 * time.Second, true},
+		{1200 * time.Millisecond, 1800 * time.Millisecond, false},
+		{2400 * time.Millisecond, 610 * time.Millisecond, false},
+		{3400 * time.Millisecond, 3 * time.Second, true},
+		{4600 * time.Millisecond, 1790 * time.Millisecond, false},
+		{6500 * time.Millisecond, 0, true},
+	} {
+		now := begin.Add(c.after)
+		_, effective := watcher.Apply(now, update(uint64(c.after/time.Millisecond)+1, c.cold))
+		if (len(effective) > 0) != c.effective {
+			t.Errorf("after %v: %d updates for peers", c.after, len(effective))
+		}
+		peer.Apply(now, effective)
+		later := now.Add(500 * time.Millisecond)
+		if w, p := watcher.All("model")[0].Cold(later), peer.All("model")[0].Cold(later); w != p {
+			t.Errorf("after %v: cold for the watcher %t, for its peer %t", c.after, w, p)
+		}
+	}
+}
