--- a/review/standin2/configs.go
+++ b/review/standin2/configs.go
@@ -7,6 +7,7 @@
 		"version": version,
 		"routes": []any{
 			map[string]any{"name": "chat", "host": "app.example", "prefix": "/chat/", "kind": "stream", "timeout_ms": 10000, "goal_latency_ms": 500, "priority": 0, "service": "model", "max_attempts": 2, "public": false, "sticky": true, "can_resume": true, "gap_aim_ms": 300},
+			map[string]any{"name": "digest", "host": "app.example", "prefix": "/chat/digest/", "kind": "stream", "timeout_ms": 2500, "goal_latency_ms": 800, "priority": 1, "service": "model", "max_attempts": 1, "public": false, "sticky": true, "can_resume": false, "gap_aim_ms": 300},
 			map[string]any{"name": "order", "host": "app.example", "prefix": "/order/", "kind": "unsafe", "timeout_ms": 1500, "goal_latency_ms": 100, "priority": 1, "service": "desk", "max_attempts": 2, "public": false, "sticky": false, "can_resume": false},
 			map[string]any{"name": "lookup", "host": "app.example", "prefix": "/lookup/", "kind": "safe", "timeout_ms": 1500, "goal_latency_ms": 100, "priority": 1, "service": "desk", "max_attempts": 2, "public": false, "sticky": false, "can_resume": false},
 		},
--- a/review/standin2/deadly.go
+++ b/review/standin2/deadly.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,11 +45,11 @@
 }
 
 // superviseEngines starts workers that crash on the deadly part. Each start has a new id.
-func (f *fleet) superviseEngines(count int) (*engines, error) {
+func (f *fleet) superviseEngines(count, events int) (*engines, error) {
 	w := &engines{}
 	var start func(n, generation int) error
 	start = func(n, generation int) error {
-		p, err := f.startWorker("-id", fmt.Sprintf("model-%d-%d", n, generation), "-address", freeAddress(), "-service", "model", "-deadly", deadlyPart)
+		p, err := f.startWorker("-id", fmt.Sprintf("model-%d-%d", n, generation), "-address", freeAddress(), "-service", "model", "-deadly", deadlyPart, "-events", strconv.Itoa(events))
 		if err != nil {
 			return err
 		}
@@ -99,7 +100,7 @@
 // caseDeadly: one part of a long prompt crashes each worker that begins to answer on it.
 func caseDeadly(f *fleet, trouble bool) (bool, error) {
 	f.configure(baseConfig(1))
-	w, err := f.superviseEngines(9)
+	w, err := f.superviseEngines(9, 7)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/sessions.go
+++ b/review/standin2/sessions.go
@@ -28,10 +28,11 @@
 }
 
 // caseSessions: one document crashes each worker that begins to answer on it. It comes in
-// one chat after the other; clients repeat once what failed.
+// one chat after the other; clients repeat once what failed. A third of the sound requests
+// are streams that may not be resumed, which a crash cuts off.
 func caseSessions(f *fleet, trouble bool) (bool, error) {
 	f.configure(baseConfig(1))
-	w, err := f.superviseEngines(9)
+	w, err := f.superviseEngines(9, 20)
 	if err != nil {
 		return false, err
 	}
@@ -42,19 +43,23 @@
 	deadly := map[string]bool{}
 	sound, lost := 0, 0
 	chat := func(n, chat int, bad bool) {
-		end := time.Now().Add(4 * time.Second)
-		for try := range 2 {
+		end, path, tries := time.Now().Add(4*time.Second), "/chat/new", 2
+		if !bad && chat%3 == 0 {
+			// A stream that must not be resumed is not repeated by clients either.
+			end, path, tries = time.Now().Add(2500*time.Millisecond), "/chat/digest/new", 1
+		}
+		for try := range tries {
 			id := fmt.Sprintf("chat-%d-%d-%d", chat, n, try+1)
 			mu.Lock()
 			deadly[id] = bad
 			mu.Unlock()
-			a := f.send(f.routers[(n+try)%3], "POST", "/chat/new", id, "body", time.Until(end), map[string]string{"Model": "m", "Token-Usage": "3450,50", "Prompt-Prefix": chatPrompt(chat, n, bad)})
+			a := f.send(f.routers[(n+try)%3], "POST", path, id, "body", time.Until(end), map[string]string{"Model": "m", "Token-Usage": "3450,50", "Prompt-Prefix": chatPrompt(chat, n, bad)})
 			answered := a.status == 200 && a.complete
 			mu.Lock()
 			if !bad && try == 0 {
 				sound++
 			}
-			if !bad && !answered && try == 1 {
+			if !bad && !answered && try == tries-1 {
 				lost++
 			}
 			mu.Unlock()
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -50,9 +50,11 @@
 
 	seq     atomic.Uint64
 	started time.Time
-	slot    chan struct{}
-	waiting atomic.Int64
-	drain   atomic.Bool
+	// listener is closed first in a crash.
+	listener net.Listener
+	slot     chan struct{}
+	waiting  atomic.Int64
+	drain    atomic.Bool
 
 	mu      sync.Mutex
 	arrived []time.Time
@@ -91,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	w.listener = l
 	if err := w.register(); err != nil {
 		return err
 	}
@@ -274,6 +277,8 @@
 		if n == first && w.holdsDeadly(r) {
 			_ = flush.Flush()
 			w.log("crashed", id, "on part "+w.deadly)
+			// Connections must not end before the listener, or the worker seems to live on.
+			_ = w.listener.Close()
 			os.Exit(2)
 		}
 		if flush.Flush() != nil || r.Context().Err() != nil {
