--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/standin/rawserver"
 )
 
 const (
@@ -60,29 +62,19 @@
 // Server responds to each request with the bytes of a case until the peer closes
 // the connection.
 type Server struct {
-	listener net.Listener
-	ended    sync.WaitGroup
-
+	*rawserver.Server
 	mu    sync.Mutex
 	flood Case
-	conns map[net.Conn]bool
 }
 
 // Listen starts a server on a free port of 127.0.0.1. It must be closed.
 func Listen() (*Server, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	s := &Server{listener: l, conns: map[net.Conn]bool{}}
-	s.ended.Add(1)
-	go s.accept()
-	return s, nil
+	s := &Server{}
+	var err error
+	s.Server, err = rawserver.Listen(s.serve)
+	return s, err
 }
 
-// Address returns the IP:PORT of the server.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
 // SetCase sets the case that the next connections get.
 func (s *Server) SetCase(c Case) {
 	s.mu.Lock()
@@ -90,43 +82,10 @@
 	s.flood = c
 }
 
-// Close closes all connections and returns once nothing is sent any more.
-func (s *Server) Close() {
-	_ = s.listener.Close()
+func (s *Server) serve(c net.Conn) {
 	s.mu.Lock()
-	for c := range s.conns {
-		_ = c.Close()
-	}
-	s.conns = nil
+	flood := s.flood
 	s.mu.Unlock()
-	s.ended.Wait()
-}
-
-func (s *Server) accept() {
-	defer s.ended.Done()
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		open, current := s.conns != nil, s.flood
-		if open {
-			s.conns[c] = true
-			s.ended.Add(1)
-		}
-		s.mu.Unlock()
-		if !open {
-			_ = c.Close()
-			return
-		}
-		go s.serve(c, current)
-	}
-}
-
-func (s *Server) serve(c net.Conn, flood Case) {
-	defer s.ended.Done()
-	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
