Reject responses whose status line is no status line of HTTP/1.1

What callers saw: an upstream in trouble answered with status 000, and the caller got a 200. Statuses 600 and 999 were passed on as they were.

Cause: responses were read with http.ReadResponse of net/http, whose checks are those of a lenient client. Every status below 200 was taken for an informational response and skipped, so the body of a 000, 099, "+20", "-00" or 101 was read as the next response; control bytes in the reason, other versions of the protocol and white space before the status were accepted too.

Evidence: TestBrokenAnswers plays a table of responses (internal/standin/answers) at a router, with short and long bodies, on a plain and a stream route, while and after the request is sent.

Fix: a package reads the head itself, checks the status line (RFC 9112, section 4; the status lies between 100 and 599 and is not 101, since no upgrade is requested), and only then has net/http parse it. A rejected response is a failed attempt: the request is repeated where its route allows that, otherwise the caller gets 502. The body is read from the same reader, so the bound on heads now holds for the head alone and for the trailer section.

--- /dev/null
+++ b/internal/standin/answers/answers.go
@@ -0,0 +1,167 @@
+package answers
+
+import (
+	"bufio"
+	_ "embed"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/standin/rawserver"
+)
+
+const (
+	// linesPerCase is the number of lines of a case in cases.txt.
+	linesPerCase = 3
+	// resetDelay lets a peer receive the response before the reset.
+	resetDelay = 20 * time.Millisecond
+	// drainTimeout bounds how long a server reads on after it has ended its side.
+	drainTimeout = 2 * time.Second
+	// smallReceiveBuffer keeps the kernel from taking an upload that is not read, in
+	// bytes.
+	smallReceiveBuffer = 4 << 10
+)
+
+// End is how a server ends a connection after a response.
+type End string
+
+const (
+	// Shutdown ends the server's side in order and reads what the peer still sends.
+	Shutdown End = "shutdown"
+	// Reset resets the connection.
+	Reset End = "reset"
+	// ShutdownReset ends the server's side in order and resets the connection later.
+	ShutdownReset End = "shutdown-reset"
+)
+
+//go:embed cases.txt
+var casesText string
+
+// Case is one response.
+type Case struct {
+	name, text string
+	end        End
+	whole      bool
+}
+
+// Name returns the name of the case.
+func (c Case) Name() string { return c.name }
+
+// Whole reports whether the response is valid and complete.
+func (c Case) Whole() bool { return c.whole }
+
+// Cases returns the cases of cases.txt.
+func Cases() ([]Case, error) {
+	var lines []string
+	for line := range strings.Lines(casesText) {
+		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
+			lines = append(lines, line)
+		}
+	}
+	if len(lines)%linesPerCase != 0 {
+		return nil, fmt.Errorf("%d lines, expected %d for each case", len(lines), linesPerCase)
+	}
+	var cases []Case
+	for i := 0; i < len(lines); i += linesPerCase {
+		text, err := strconv.Unquote(lines[i+1])
+		if err != nil {
+			return nil, fmt.Errorf("case %q: response: %w", lines[i], err)
+		}
+		outcome, end, _ := strings.Cut(lines[i+2], " ")
+		if outcome != "whole" && outcome != "broken" {
+			return nil, fmt.Errorf("case %q: outcome %q", lines[i], outcome)
+		}
+		cases = append(cases, Case{lines[i], text, End(end), outcome == "whole"})
+	}
+	return cases, nil
+}
+
+// Content is what the reader of a response expects in it.
+type Content struct {
+	fields, body string
+}
+
+// NewContent returns the fields, one "Name: value\r\n" each, and the body. {id} in
+// them stands for the Request-Id of the request.
+func NewContent(fields, body string) Content { return Content{fields, body} }
+
+// Server responds to the first request of each connection.
+type Server struct {
+	*rawserver.Server
+	mu      sync.Mutex
+	current Case
+	content Content
+	early   bool
+}
+
+// Listen starts a server on a free port of 127.0.0.1. It must be closed.
+func Listen() (*Server, error) {
+	s := &Server{}
+	var err error
+	s.Server, err = rawserver.Listen(s.serve)
+	return s, err
+}
+
+// Set sets the response for the next connections. An early one is sent while the body
+// of the request is being received.
+func (s *Server) Set(c Case, content Content, early bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current, s.content, s.early = c, content, early
+}
+
+func (s *Server) serve(c net.Conn) {
+	s.mu.Lock()
+	current, content, early := s.current, s.content, s.early
+	s.mu.Unlock()
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if early && tcp.SetReadBuffer(smallReceiveBuffer) != nil {
+		return
+	}
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if !early {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+	if _, err := io.WriteString(c, content.fill(current.text, r.Header.Get("Request-Id"))); err != nil {
+		return
+	}
+	current.end.apply(tcp)
+}
+
+// fill returns a response with its placeholders replaced.
+func (c Content) fill(text, id string) string {
+	ids := strings.NewReplacer("{id}", id)
+	body := ids.Replace(c.body)
+	return strings.NewReplacer(
+		"{fields}", ids.Replace(c.fields), "{body}", body, "{part}", body[:len(body)/2],
+		"{length}", strconv.Itoa(len(body)), "{size}", strconv.FormatInt(int64(len(body)), 16),
+	).Replace(text)
+}
+
+func (e End) apply(c *net.TCPConn) {
+	if e != Reset {
+		// An error means that the peer has reset the connection.
+		_ = c.CloseWrite()
+	}
+	if e == Shutdown {
+		_ = c.SetReadDeadline(time.Now().Add(drainTimeout))
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	time.Sleep(resetDelay)
+	// A linger time of zero makes the close a reset.
+	_ = c.SetLinger(0)
+}
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"syscall"
 	"time"
@@ -32,20 +31,14 @@
 	// grows to some MB while a slow caller does not take the response, and what the
 	// kernel has received counts as memory of the process.
 	receiveBufferBytes = 64 << 10
-	// maxHeadBytes bounds what is read of one response until its header is complete.
-	// net/http bounds only the headers of requests.
+	// maxHeadBytes bounds the head and the trailer section of a response.
 	maxHeadBytes = 32 << 10
 )
 
-// errHeadTooLong means that a response's header exceeds maxHeadBytes.
-var errHeadTooLong = errors.New("header of the response exceeds the size limit")
-
 // conn is one connection to an upstream. It is used by one request at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// head bounds the header that is being read.
-	head *headLimit
 	// idleSince is when the last response was complete, 0 on a new connection.
 	idleSince clock.Instant
 	// idleTimeout is how long the connection may stay idle before the upstream
@@ -70,35 +63,7 @@
 }
 
 func newConn(c net.Conn) *conn {
-	head := &headLimit{reader: c}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
-}
-
-// headLimit passes on what it reads and fails once a header is too long.
-type headLimit struct {
-	reader io.Reader
-	// active is set while a header is read, and remaining is how many bytes of it
-	// may still be read. Bytes of a body that arrive with the header count too.
-	active    bool
-	remaining int
-}
-
-// start bounds the bytes until stop.
-func (h *headLimit) start() { h.active, h.remaining = true, maxHeadBytes }
-
-func (h *headLimit) stop() { h.active = false }
-
-// Read implements io.Reader.
-func (h *headLimit) Read(b []byte) (int, error) {
-	if !h.active {
-		return h.reader.Read(b)
-	}
-	if h.remaining <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := h.reader.Read(b[:min(len(b), h.remaining)])
-	h.remaining -= n
-	return n, err
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
 }
 
 func setSocketOptions(_, _ string, raw syscall.RawConn) error {
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 )
 
 const (
@@ -212,9 +213,7 @@
 	}
 	first := !c.reused
 	for range maxUnmatched {
-		c.head.start()
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
-		c.head.stop()
+		resp, err := http1wire.ReadResponse(c.reader, q.Method, maxHeadBytes)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
--- /dev/null
+++ b/internal/upstream/http1wire/doc.go
@@ -0,0 +1,5 @@
+// Package http1wire reads the responses of HTTP/1.1 servers and rejects those that
+// RFC 9112 does not allow, which net/http accepts in part: it takes such bytes for a
+// response other than the one that the server sent. Package http1 reads with
+// ReadResponse.
+package http1wire
