Reject responses with fields that are no fields of HTTP/1.1

What callers saw: an upstream in trouble answered with a field whose name held a space, and the caller got the answer. With "Content-Length : 48" or "Transfer-Encoding : chunked" the body was not the upstream's: the field was not recognized, so the caller got whatever arrived until the end of the connection, chunk sizes included.

Cause: the parser of net/http accepts spaces in field names on purpose, keeps them under a name of their own, and joins a line that begins with white space to the value of the line before. It does the same in trailer sections.

Of the two choices that RFC 9112 gives a proxy for folded lines this takes rejecting: nothing tells them from a name that begins with a space.

--- a/internal/upstream/http1wire/head.go
+++ b/internal/upstream/http1wire/head.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 )
 
 var (
@@ -58,17 +59,59 @@
 	}
 }
 
-// skipFields reads field lines up to the empty line.
-func (s *section) skipFields() error {
+// fields reads field lines up to the empty line.
+func (s *section) fields() error {
 	for {
 		line, err := s.next()
-		if err != nil || len(line) == 0 {
+		if err != nil {
 			return err
 		}
+		if len(line) == 0 {
+			return nil
+		}
+		if err := checkField(line); err != nil {
+			return err
+		}
+	}
+}
+
+// checkField checks a field line. One that begins with white space, by which senders once
+// continued the line before, is malformed: RFC 9112 has proxies discard such a response or
+// rewrite it.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) {
+		return malformed("field name", line)
+	}
+	if !isText(value) {
+		return malformed("field value", line)
+	}
+	return nil
+}
+
+const (
+	digits  = "0123456789"
+	letters = "abcdefghijklmnopqrstuvwxyz"
+)
+
+// tokenBytes holds the bytes of a token (RFC 9110, section 5.6.2).
+var tokenBytes = func() (set [256]bool) {
+	for _, b := range []byte(digits + letters + strings.ToUpper(letters) + "!#$%&'*+-.^_`|~") {
+		set[b] = true
+	}
+	return set
+}()
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !tokenBytes[c] {
+			return false
+		}
 	}
+	return len(b) > 0
 }
 
-// isText reports whether all bytes may stand in a reason phrase: visible
+// isText reports whether all bytes may stand in a field value or a reason phrase: visible
 // characters, bytes above ASCII, spaces and tabs.
 func isText(b []byte) bool {
 	for _, c := range b {
@@ -117,7 +160,7 @@
 	if err := checkStatusLine(statusLine); err != nil {
 		return nil, err
 	}
-	if err := s.skipFields(); err != nil {
+	if err := s.fields(); err != nil {
 		return nil, err
 	}
 	return s.text, nil
