Reject responses that state the end of their body in two ways

What callers saw: an upstream whose answer had both a length and chunks, or chunks in HTTP/1.0, was passed on; in HTTP/1.0 the chunk sizes were part of the body that the caller got.

Cause: net/http drops the length if there are chunks, and ignores chunks in HTTP/1.0. Two readers of the same bytes then disagree on where the body ends.

Fix: such a head is malformed. RFC 9112, section 6.1, says of the first that it "ought to be handled as an error" and of the second that its framing is faulty.

--- a/internal/upstream/http1wire/head.go
+++ b/internal/upstream/http1wire/head.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// fields reads field lines up to the empty line.
-func (s *section) fields() error {
+// fields reads field lines up to the empty line and passes each to observe.
+func (s *section) fields(observe func(name []byte)) error {
 	for {
 		line, err := s.next()
 		if err != nil {
@@ -69,24 +69,26 @@
 		if len(line) == 0 {
 			return nil
 		}
-		if err := checkField(line); err != nil {
+		name, err := fieldName(line)
+		if err != nil {
 			return err
 		}
+		observe(name)
 	}
 }
 
-// checkField checks a field line. One that begins with white space, by which senders once
-// continued the line before, is malformed: RFC 9112 has proxies discard such a response or
-// rewrite it.
-func checkField(line []byte) error {
+// fieldName returns the name of a field line. A line that begins with white space, by
+// which senders once continued the line before, is malformed: RFC 9112 has proxies
+// discard such a response or rewrite it.
+func fieldName(line []byte) ([]byte, error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !isToken(name) {
-		return malformed("field name", line)
+		return nil, malformed("field name", line)
 	}
 	if !isText(value) {
-		return malformed("field value", line)
+		return nil, malformed("field value", line)
 	}
-	return nil
+	return name, nil
 }
 
 const (
@@ -160,8 +162,18 @@
 	if err := checkStatusLine(statusLine); err != nil {
 		return nil, err
 	}
-	if err := s.fields(); err != nil {
+	http10 := bytes.HasPrefix(statusLine, []byte("HTTP/1.0"))
+	coded, sized := false, false
+	err = s.fields(func(name []byte) {
+		coded = coded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+		sized = sized || bytes.EqualFold(name, []byte("Content-Length"))
+	})
+	if err != nil {
 		return nil, err
 	}
+	// Recipients differ on where such a body ends.
+	if coded && (sized || http10) {
+		return nil, fmt.Errorf("%w: Transfer-Encoding with Content-Length or HTTP/1.0", ErrMalformed)
+	}
 	return s.text, nil
 }
--- a/internal/upstream/http1wire/response.go
+++ b/internal/upstream/http1wire/response.go
@@ -11,10 +11,9 @@
 )
 
 // ReadResponse reads the head of the response to a request with a method, at most
-// maxHead bytes. Unlike that of net/http it rejects status lines and fields
-// that RFC 9112 does not allow, with ErrMalformed. The response may be informational. Its body reads from r; io.EOF
-// means that the body is complete.
-// Trailers are checked and discarded.
+// maxHead bytes. Unlike that of net/http it rejects status lines, fields and lengths that
+// violate RFC 9112, with ErrMalformed. The response may be informational. Its body reads from r; io.EOF
+// means that the body is complete. Trailers are checked and discarded.
 func ReadResponse(r *bufio.Reader, method string, maxHead int) (*http.Response, error) {
 	head, err := readHead(r, maxHead)
 	if errors.Is(err, io.EOF) {
@@ -97,7 +96,7 @@
 
 // readTrailer returns io.EOF if the trailer section is valid.
 func (b *chunkedBody) readTrailer() error {
-	err := b.trailer.fields()
+	err := b.trailer.fields(func([]byte) {})
 	b.trailer.text = nil
 	switch {
 	case err == nil:
