Take a response without length for broken if its connection was reset

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part and reset the connection; the caller got that part as a complete response.

Cause: the kernel reports a reset once, to a read or to a write. While the upload is being written, the write mostly gets it, and the read then returns the end of the connection as after an orderly one, which ends such a body. The same holds for a connection that the kernel gives up.

Hypotheses: the reset is lost on the way (no: the write fails with "connection reset by peer"), the body is taken for complete although the read fails (no: the read returns io.EOF). What tells them apart is the result of the write, which is now part of the error in the log: "unexpected EOF: writev ...: connection reset by peer".

Fix: at the end of such a body the writing is ended and its result looked at. The response is complete if the writing was done, was still waiting, or failed with EPIPE, by which Linux reports a reset that follows an orderly end: an upstream may respond, close and not read the rest. Responses with a length or chunks need no such evidence.

--- a/internal/standin/answers/answers.go
+++ b/internal/standin/answers/answers.go
@@ -33,8 +33,10 @@
 const (
 	// Shutdown ends the server's side in order and reads what the peer still sends.
 	Shutdown End = "shutdown"
-	// Reset resets the connection.
+	// Reset resets the connection once the peer can have read the response.
 	Reset End = "reset"
+	// ResetAtOnce resets the connection right after the response.
+	ResetAtOnce End = "reset-at-once"
 	// ShutdownReset ends the server's side in order and resets the connection later.
 	ShutdownReset End = "shutdown-reset"
 )
@@ -152,7 +154,7 @@
 }
 
 func (e End) apply(c *net.TCPConn) {
-	if e != Reset {
+	if e == Shutdown || e == ShutdownReset {
 		// An error means that the peer has reset the connection.
 		_ = c.CloseWrite()
 	}
@@ -161,7 +163,9 @@
 		_, _ = io.Copy(io.Discard, c)
 		return
 	}
-	time.Sleep(resetDelay)
+	if e != ResetAtOnce {
+		time.Sleep(resetDelay)
+	}
 	// A linger time of zero makes the close a reset.
 	_ = c.SetLinger(0)
 }
--- a/internal/standin/answers/answers_test.go
+++ b/internal/standin/answers/answers_test.go
@@ -16,7 +16,7 @@
 		}
 		names[c.Name()] = true
 		switch c.end {
-		case Shutdown, Reset, ShutdownReset:
+		case Shutdown, Reset, ResetAtOnce, ShutdownReset:
 		default:
 			t.Errorf("case %q: end %q", c.Name(), c.end)
 		}
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -84,8 +84,9 @@
 	// delimited is set if the body has a length or chunks.
 	delimited bool
 	bodyRead  bool
-	// writeErr receives the result of writing the request.
-	writeErr chan error
+	// untilClose is set if the end of the connection ends the body.
+	untilClose bool
+	sending    *sending
 	// stopCancel detaches the connection from the request's context. It returns
 	// false if the context has ended.
 	stopCancel func() bool
@@ -108,16 +109,30 @@
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	if errors.Is(err, io.EOF) && r.untilClose {
+		err = r.checkEnd()
+	}
 	if errors.Is(err, io.EOF) {
 		r.bodyRead = true
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the upstream ended the connection in order. It ends the
+// sending of the request, since the response is over.
+func (r *Response) checkEnd() error {
+	// An error means that the connection is closed already.
+	_ = r.conn.SetWriteDeadline(past)
+	if err := r.sending.wait(); !http1wire.EndedInOrder(err) {
+		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
+	}
+	return io.EOF
+}
+
 // ReadRest reads the rest of the body, at most limit bytes and for at most a time.
 // The connection is reused only if the body ends within both.
 func (r *Response) ReadRest(limit int64, timeout time.Duration) {
-	t := time.AfterFunc(timeout, func() { _ = r.conn.SetDeadline(time.Unix(1, 0)) })
+	t := time.AfterFunc(timeout, func() { _ = r.conn.SetDeadline(past) })
 	// If the body does not end, Close closes the connection.
 	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
 	if !t.Stop() {
@@ -142,13 +157,33 @@
 // requestSent reports whether the request was written completely.
 func (r *Response) requestSent() bool {
 	select {
-	case err := <-r.writeErr:
-		return err == nil
+	case <-r.sending.ended:
+		return r.sending.err == nil
 	default:
 		return false
 	}
 }
 
+// sending is the writing of a request, which may go on while its response is read.
+type sending struct {
+	// ended is closed once the request is written or the writing has failed with err.
+	ended chan struct{}
+	err   error
+}
+
+func (s *sending) finish(err error) {
+	s.err = err
+	close(s.ended)
+}
+
+func (s *sending) wait() error {
+	<-s.ended
+	return s.err
+}
+
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
 // Do sends a request and returns once the header of its response is read. The
 // end of ctx cancels the request, also while the body is read. Errors carry a
 // verdict.
@@ -165,7 +200,6 @@
 			return nil, verdict.Errorf(verdict.NotRun, "%w: %w", ErrNotSent, err)
 		}
 	}
-	past := time.Unix(1, 0)
 	// Unblocks reads and writes when the request is cancelled.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	r, err := c.roundTrip(q)
@@ -188,28 +222,35 @@
 	return clock.Since(c.idleSince).Round(time.Millisecond)
 }
 
-// roundTrip writes the request and reads the header of its response.
-func (c *conn) roundTrip(q Request) (*Response, error) {
+// send starts to write the request. An upstream may respond before it has read a long
+// body, so that is written while the response is read.
+func (c *conn) send(q Request) *sending {
+	s := &sending{ended: make(chan struct{})}
 	header := q.encodeHeader()
-	writeErr := make(chan error, 1)
 	if q.Body.Len() <= inlineBodyBytes {
 		for _, segment := range q.Body {
 			header = append(header, segment...)
 		}
 		_, err := c.Write(header)
-		writeErr <- err
-		if err != nil {
-			return nil, fmt.Errorf("send request: %w", err)
-		}
-	} else {
-		// An upstream may respond before it has read a long body.
-		go func() {
-			// WriteTo changes the slice of segments, which is used again after a failed
-			// attempt.
-			buffers := append(net.Buffers{header}, q.Body...)
-			_, err := buffers.WriteTo(c.Conn)
-			writeErr <- err
-		}()
+		s.finish(err)
+		return s
+	}
+	// The deadline of the connection ends the goroutine with the request's context.
+	go func() {
+		// WriteTo changes the slice of segments, which is used again after a failed
+		// attempt.
+		buffers := append(net.Buffers{header}, q.Body...)
+		_, err := buffers.WriteTo(c.Conn)
+		s.finish(err)
+	}()
+	return s
+}
+
+// roundTrip writes the request and reads the header of its response.
+func (c *conn) roundTrip(q Request) (*Response, error) {
+	s := c.send(q)
+	if q.Body.Len() <= inlineBodyBytes && s.err != nil {
+		return nil, fmt.Errorf("send request: %w", s.err)
 	}
 	first := !c.reused
 	for range maxUnmatched {
@@ -224,8 +265,8 @@
 			c.idleTimeout = keepAliveTimeout(resp.Header)
 			return &Response{
 				status: resp.StatusCode, header: resp.Header, body: resp.Body,
-				length: resp.ContentLength, conn: c, keepAlive: !resp.Close && c.idleTimeout > 0, writeErr: writeErr,
-				delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+				length: resp.ContentLength, conn: c, keepAlive: !resp.Close && c.idleTimeout > 0, sending: s,
+				delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, untilClose: http1wire.UntilClose(resp),
 			}, nil
 		}
 		first = false
--- a/internal/upstream/http1wire/response.go
+++ b/internal/upstream/http1wire/response.go
@@ -12,8 +12,9 @@
 
 // ReadResponse reads the head of the response to a request with a method, at most
 // maxHead bytes. Unlike that of net/http it rejects status lines, fields and lengths that
-// violate RFC 9112, with ErrMalformed. The response may be informational. Its body reads from r; io.EOF
-// means that the body is complete. Trailers are checked and discarded.
+// violate RFC 9112, with ErrMalformed. The response may be informational. Its body reads
+// from r; io.EOF means that the body is complete, or, if UntilClose, that the connection
+// has ended. Trailers are checked and discarded.
 func ReadResponse(r *bufio.Reader, method string, maxHead int) (*http.Response, error) {
 	head, err := readHead(r, maxHead)
 	if errors.Is(err, io.EOF) {
@@ -44,6 +45,11 @@
 	return response, nil
 }
 
+// UntilClose reports whether the end of the connection ends the body of a response.
+func UntilClose(r *http.Response) bool {
+	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // sizedBody is a body with a length.
 type sizedBody struct {
 	reader *bufio.Reader
