Read the response also if a short request could not be written

What callers saw: an upstream that turns a connection away with a complete response and a reset, before it has read anything, counted as broken; the caller got 502, or the request was repeated at the cost of the retry budget.

Cause: a request with a body up to 16 KB is written before the response is read, and a failed write ended the attempt, although the response had arrived.

Fix: the response is read in any case, as it is for longer bodies.

--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/request/verdict"
+	"github.com/hemlockcroft/hemlockcroft/internal/standin/rawserver"
 )
 
 // roomFor is a Budget of a number of bytes.
@@ -174,6 +175,41 @@
 	}
 }
 
+// TestResponseBeforeRequest guards against losing a complete response of an upstream that
+// sends it and resets the connection before it has read anything.
+func TestResponseBeforeRequest(t *testing.T) {
+	reset := make(chan error, 1)
+	server, err := rawserver.Listen(func(c net.Conn) {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy")
+		// The response arrives before the reset.
+		time.Sleep(20 * time.Millisecond)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			err = errors.Join(err, tcp.SetLinger(0))
+		}
+		reset <- errors.Join(err, c.Close())
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	r, err := NewPool(server.Address()).Do(t.Context(), Request{
+		Method: http.MethodGet, Target: "/", Host: "a",
+		BeforeSend: func() (http.Header, error) {
+			err := <-reset
+			time.Sleep(20 * time.Millisecond)
+			return http.Header{}, err
+		},
+		Matches: func(int, http.Header, bool) bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	if text, err := io.ReadAll(r); string(text) != "busy" || err != nil {
+		t.Errorf("%q, %v", text, err)
+	}
+}
+
 // TestMaxConns guards against more connections to an upstream than a router's
 // share, which the upstream would reset.
 func TestMaxConns(t *testing.T) {
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -246,12 +246,10 @@
 	return s
 }
 
-// roundTrip writes the request and reads the header of its response.
+// roundTrip writes the request and reads the header of its response. The upstream may
+// have responded although the writing failed.
 func (c *conn) roundTrip(q Request) (*Response, error) {
 	s := c.send(q)
-	if q.Body.Len() <= inlineBodyBytes && s.err != nil {
-		return nil, fmt.Errorf("send request: %w", s.err)
-	}
 	first := !c.reused
 	for range maxUnmatched {
 		resp, err := http1wire.ReadResponse(c.reader, q.Method, maxHeadBytes)
