Read the responses of hemlockd's upstreams as strictly as those of hemlock-edge

What callers saw: hemlockd passed on the same broken responses as hemlock-edge: status 000 and 600, fields with spaces in their names, bodies with two stated ends, and parts of responses without length that were reset during a long call.

A write that meets a reset takes it from the read here too; it also makes net/http give up an early response that is whole.

Fix: http1wire.Strict gives a transport connections whose reads return only what ReadResponse accepts, and end like those of http1. They know where each response ends, so bytes on an idle connection are refused as well, and net/http still reuses connections. A failed write is hidden once a part of the request is sent; the response decides.

--- a/internal/standin/answers/answers.go
+++ b/internal/standin/answers/answers.go
@@ -48,14 +48,23 @@
 type Case struct {
 	name, text string
 	end        End
-	whole      bool
+	outcome    string
 }
 
 // Name returns the name of the case.
 func (c Case) Name() string { return c.name }
 
+const (
+	whole     = "whole"
+	broken    = "broken"
+	brokenEnd = "broken-end"
+)
+
 // Whole reports whether the response is valid and complete.
-func (c Case) Whole() bool { return c.whole }
+func (c Case) Whole() bool { return c.outcome == whole }
+
+// BodyArrives reports whether the whole body arrives, with or without a fault after it.
+func (c Case) BodyArrives() bool { return c.outcome != broken }
 
 // Cases returns the cases of cases.txt.
 func Cases() ([]Case, error) {
@@ -75,10 +84,10 @@
 			return nil, fmt.Errorf("case %q: response: %w", lines[i], err)
 		}
 		outcome, end, _ := strings.Cut(lines[i+2], " ")
-		if outcome != "whole" && outcome != "broken" {
+		if outcome != whole && outcome != broken && outcome != brokenEnd {
 			return nil, fmt.Errorf("case %q: outcome %q", lines[i], outcome)
 		}
-		cases = append(cases, Case{lines[i], text, End(end), outcome == "whole"})
+		cases = append(cases, Case{lines[i], text, End(end), outcome})
 	}
 	return cases, nil
 }
@@ -143,6 +152,30 @@
 	current.end.apply(tcp)
 }
 
+// Play has a reader read each response from a server at an address, and returns a text
+// for each that the reader takes for whole although it is not, or the reverse.
+func Play(content Content, read func(address string, c Case) error) ([]string, error) {
+	cases, err := Cases()
+	if err != nil {
+		return nil, err
+	}
+	var faults []string
+	for _, c := range cases {
+		// Each server answers one request, so a reader must not use its connection again.
+		s, err := Listen()
+		if err != nil {
+			return nil, err
+		}
+		s.Set(c, content, false)
+		err = read(s.Address(), c)
+		s.Close()
+		if (err == nil) != c.Whole() {
+			faults = append(faults, fmt.Sprintf("%s: error %v, whole %t", c.name, err, c.Whole()))
+		}
+	}
+	return faults, nil
+}
+
 // fill returns a response with its placeholders replaced.
 func (c Content) fill(text, id string) string {
 	ids := strings.NewReplacer("{id}", id)
--- /dev/null
+++ b/internal/upstream/http1wire/conn_test.go
@@ -0,0 +1,199 @@
+package http1wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/standin/answers"
+)
+
+// longUploadBytes is more than the kernel takes of an upload that is not read.
+const longUploadBytes = 12 << 20
+
+// TestBrokenAnswers guards against a client of net/http that takes a response that
+// violates HTTP/1.1 or breaks off for a response, or that loses a sound one.
+func TestBrokenAnswers(t *testing.T) {
+	cases, err := answers.Cases()
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := answers.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	uploads := map[bool]string{false: "short", true: strings.Repeat("0123456789abcdef", longUploadBytes/16)}
+	bodies := map[string]string{"short": "the body", "long": strings.Repeat("the body ", 50_000)}
+	transport := Strict(&http.Transport{})
+	for _, c := range cases {
+		for early, upload := range uploads {
+			for size, body := range bodies {
+				t.Run(fmt.Sprintf("%s/%s/early=%t", c.Name(), size, early), func(t *testing.T) {
+					server.Set(c, answers.NewContent("Connection: close\r\n", body), early)
+					status, got, err := post(transport, server.Address(), upload)
+					if whole := err == nil; whole != c.Whole() || whole && (status != http.StatusOK || got != body) {
+						t.Errorf("status %d, %d bytes, %v", status, len(got), err)
+					}
+				})
+			}
+		}
+	}
+}
+
+func post(transport http.RoundTripper, address, body string) (status int, text string, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(read), err
+}
+
+// TestReuse guards against losing track of where the next response begins, which would
+// cost a connection for each request, over HTTP and HTTPS.
+func TestReuse(t *testing.T) {
+	var dials atomic.Int64
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/none" {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.Header().Set("Content-Length", "5000")
+		if r.URL.Path == "/chunks" {
+			w.Header().Del("Content-Length")
+			w.Header().Set("Trailer", "X-Sum")
+			w.WriteHeader(http.StatusEarlyHints)
+		}
+		for range 50 {
+			_, _ = io.WriteString(w, strings.Repeat("x", 100))
+			_ = http.NewResponseController(w).Flush()
+		}
+		w.Header().Set("X-Sum", "5000")
+	})
+	for name, start := range map[string]func(*httptest.Server){"http": (*httptest.Server).Start, "https": (*httptest.Server).StartTLS} {
+		t.Run(name, func(t *testing.T) {
+			dials.Store(0)
+			server := httptest.NewUnstartedServer(handler)
+			server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+				if s == http.StateNew {
+					dials.Add(1)
+				}
+			}
+			start(server)
+			defer server.Close()
+			transport := &http.Transport{}
+			if configured, ok := server.Client().Transport.(*http.Transport); ok {
+				transport.TLSClientConfig = configured.TLSClientConfig
+			}
+			client := &http.Client{Transport: Strict(transport)}
+			for range 3 {
+				for _, path := range []string{"/length", "/chunks", "/none"} {
+					for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
+						want := 5000
+						if path == "/none" || method == http.MethodHead {
+							want = 0
+						}
+						if n, err := readAll(client, method, server.URL+path); err != nil || n != want {
+							t.Errorf("%s %s: %d bytes, %v", method, path, n, err)
+						}
+					}
+				}
+			}
+			if n := dials.Load(); n != 1 {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
+
+func readAll(client *http.Client, method, url string) (int, error) {
+	r, err := http.NewRequest(method, url, http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return len(text), err
+}
+
+// TestUnsolicited guards against bytes on an idle connection that are taken for the
+// response to the next request.
+func TestUnsolicited(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	c := newConn(client, defaultMaxHead)
+	received := make(chan error, 1)
+	go func() {
+		_, err := http.ReadRequest(bufio.NewReader(server))
+		if err == nil {
+			_, err = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1")
+		}
+		received <- err
+	}()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 100)); n == 0 || err != nil {
+		t.Fatal(n, err)
+	}
+	if _, err := c.Read(make([]byte, 100)); !errors.Is(err, ErrUnsolicited) {
+		t.Errorf("bytes on an idle connection: %v", err)
+	}
+	if err := <-received; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestTrailerArrivesLater guards against holding back the end of a body until its trailer
+// section arrives.
+func TestTrailerArrivesLater(t *testing.T) {
+	arrived := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	errNotArrived := errors.New("not arrived")
+	r := bufio.NewReader(io.MultiReader(strings.NewReader(arrived), iotest.ErrReader(errNotArrived)))
+	response, err := ReadResponse(r, http.MethodGet, defaultMaxHead)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 10)
+	if n, err := response.Body.Read(b); string(b[:n]) != "body" || err != nil {
+		t.Errorf("read %q, %v", b[:n], err)
+	}
+	if _, err := response.Body.Read(b); !errors.Is(err, errNotArrived) {
+		t.Errorf("after the body: %v", err)
+	}
+}
+
+// TestLimits guards against heads and trailer sections without end.
+func TestLimits(t *testing.T) {
+	const limit = 1000
+	long := strings.Repeat("X-Field: value\r\n", limit)
+	if _, err := ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+long)), http.MethodGet, limit); !errors.Is(err, ErrHeadTooLong) {
+		t.Errorf("head: %v", err)
+	}
+	response, err := ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"+long)), http.MethodGet, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(response.Body); !errors.Is(err, ErrHeadTooLong) {
+		t.Errorf("trailer section: %v", err)
+	}
+}
--- a/internal/upstream/transport/transport.go
+++ b/internal/upstream/transport/transport.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 )
 
 const (
@@ -63,7 +65,7 @@
 
 func newTransport() *http.Transport {
 	d := net.Dialer{Timeout: dialTimeout, Control: setReceiveBuffer}
-	return &http.Transport{
+	return http1wire.Strict(&http.Transport{
 		DialContext:            d.DialContext,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
@@ -71,7 +73,7 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		WriteBufferSize:        writeBufferBytes,
 		ReadBufferSize:         readBufferBytes,
-	}
+	})
 }
 
 // setReceiveBuffer sets the receive buffer of a connection.
