Reset connections in the stand-in only after the response has arrived

TestBrokenAnswers of internal/upstream/http1wire failed once beside the crowd tests: "no length, reset after the end" with a long body gave "unexpected EOF" after 65,498 of 450,000 bytes. The stand-in waited 20 ms before the reset, which discards what is not sent yet, so the reader was right. The stand-in now waits until the peer's kernel has all of it.

--- a/internal/standin/answers/answers.go
+++ b/internal/standin/answers/answers.go
@@ -12,14 +12,20 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/rawserver"
 )
 
 const (
 	// linesPerCase is the number of lines of a case in cases.txt.
 	linesPerCase = 3
-	// resetDelay lets a peer receive the response before the reset.
+	// resetDelay lets a peer read the response before the reset.
 	resetDelay = 20 * time.Millisecond
+	// deliveryInterval is the time between two checks whether the peer's kernel has the
+	// response, and deliveryTimeout bounds them.
+	deliveryInterval = time.Millisecond
+	deliveryTimeout  = 2 * time.Second
 	// drainTimeout bounds how long a server reads on after it has ended its side.
 	drainTimeout = 2 * time.Second
 	// smallReceiveBuffer keeps the kernel from taking an upload that is not read, in
@@ -197,8 +203,25 @@
 		return
 	}
 	if e != ResetAtOnce {
+		awaitDelivery(c)
 		time.Sleep(resetDelay)
 	}
 	// A linger time of zero makes the close a reset.
 	_ = c.SetLinger(0)
 }
+
+// awaitDelivery waits until the peer's kernel has all that was sent, since a reset
+// discards the rest.
+func awaitDelivery(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	for end := time.Now().Add(deliveryTimeout); time.Now().Before(end); time.Sleep(deliveryInterval) {
+		unsent := 0
+		controlErr := raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		if controlErr != nil || err != nil || unsent == 0 {
+			return
+		}
+	}
+}
