Read the responses of the store, peers and operators' endpoints strictly

Cause: the clients use net/http, whose parser accepts such responses.

Fix: http1wire.Strict for all of them, and for the client that asks a router for an explanation. Routers of hemlockd speak HTTP/2 with each other, where net/http rejects such fields and ends; their client acts on status 200 alone.

--- a/internal/host/edge/explain.go
+++ b/internal/host/edge/explain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/router/forward"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 )
 
 const (
@@ -133,7 +134,7 @@
 		return explanation, withoutURL(err)
 	}
 	// Without a proxy, so that API keys are sent to the router only.
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := http1wire.Strict(&http.Transport{DisableKeepAlives: true})
 	res, err := (&http.Client{Transport: transport}).Do(r)
 	if err != nil {
 		return explanation, withoutURL(err)
--- a/internal/host/edge/listrelay.go
+++ b/internal/host/edge/listrelay.go
@@ -20,6 +20,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/router/directory"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/rpc"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/httpresponse"
 )
 
@@ -60,9 +61,9 @@
 func newListRelay(d *directory.Directory, t *topicTracker) *listRelay {
 	return &listRelay{
 		directory: d, tracker: t, slots: make(chan struct{}, maxListFetches),
-		client: &http.Client{Timeout: listTimeout, Transport: &http.Transport{
+		client: &http.Client{Timeout: listTimeout, Transport: http1wire.Strict(&http.Transport{
 			DialContext: (&net.Dialer{Timeout: relayTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxControlBytes,
-		}},
+		})},
 	}
 }
 
--- a/internal/host/edge/relay.go
+++ b/internal/host/edge/relay.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockcroft/hemlockcroft/internal/host/clock"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/gossip"
 	"github.com/hemlockcroft/hemlockcroft/internal/router/rpc"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/httpresponse"
 )
 
@@ -67,9 +68,9 @@
 		fetchSlots: make(chan struct{}, maxFetches),
 		// Fetches are rare, so a persistent connection would be idle most of the
 		// time.
-		client: &http.Client{Timeout: relayTimeout, Transport: limitedTransport{&http.Transport{
+		client: &http.Client{Timeout: relayTimeout, Transport: limitedTransport{http1wire.Strict(&http.Transport{
 			DialContext: (&net.Dialer{Timeout: relayTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxControlBytes,
-		}}},
+		})}},
 	}
 }
 
--- a/internal/operator/ctl/routers.go
+++ b/internal/operator/ctl/routers.go
@@ -14,6 +14,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/operator/fleetconfig"
 	"github.com/hemlockcroft/hemlockcroft/internal/platform/hosts"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 )
 
 const (
@@ -67,7 +68,7 @@
 }
 
 func newRouterClient() *routerClient {
-	return &routerClient{&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, make(chan struct{}, maxConnections)}
+	return &routerClient{&http.Client{Transport: http1wire.Strict(&http.Transport{DisableKeepAlives: true})}, make(chan struct{}, maxConnections)}
 }
 
 // fanOut runs call for all routers concurrently and passes the responses to
--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/httpresponse"
 )
 
@@ -116,12 +117,12 @@
 		option(c)
 	}
 	dialer := &net.Dialer{Timeout: c.timeout}
-	c.callClient = &http.Client{Transport: &http.Transport{
+	c.callClient = &http.Client{Transport: http1wire.Strict(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})}
 	// Each watch dials, so that it never reuses an unresponsive connection.
-	c.watchClient = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+	c.watchClient = &http.Client{Transport: http1wire.Strict(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes})}
 	return c
 }
 
--- a/internal/platform/hosts/poller.go
+++ b/internal/platform/hosts/poller.go
@@ -12,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
 )
 
 const (
@@ -48,7 +50,7 @@
 func NewClient(timeout time.Duration) *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = maxHeaderBytes
-	return &http.Client{Timeout: timeout, Transport: transport}
+	return &http.Client{Timeout: timeout, Transport: http1wire.Strict(transport)}
 }
 
 // NewPoller returns a poller with an empty list. Run and Poll fetch the list; at
