Act on a response only once its end has arrived

What was seen: a response whose body holds a complete document or an error, but that breaks off after it or before its stated end, was acted upon: an engine's 400 reached the caller as the rejection of the request, a store's 410 made a router list everything, a load report, a confirmation of an engine and an explanation counted.

Cause: these readers decoded the first JSON value, or read an error's text, and did not look at how the response ended.

Fix: they read to the end, within their limits, and fail if the response breaks off.

--- a/internal/host/edge/broken_answers_test.go
+++ b/internal/host/edge/broken_answers_test.go
@@ -41,6 +41,10 @@
 			_, _, _, err := lists.fetchFrom(context.Background(), address)
 			return err
 		}},
+		"explanation": {answers.NewContent("Content-Type: application/json\r\n", `{"status":200}`), func(address string, _ answers.Case) error {
+			_, err := AskExplanation(context.Background(), address, Question{Method: "GET", Path: "/"})
+			return err
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/host/edge/explain.go
+++ b/internal/host/edge/explain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/hemlockcroft/hemlockcroft/internal/router/forward"
 	"github.com/hemlockcroft/hemlockcroft/internal/upstream/http1wire"
+	"github.com/hemlockcroft/hemlockcroft/internal/upstream/httpresponse"
 )
 
 const (
@@ -22,6 +24,8 @@
 	maxExplainValues = 64
 	// explainTimeout limits the call of a router by AskExplanation.
 	explainTimeout = 5 * time.Second
+	// maxExplanationBytes limits an explanation, which names the upstreams of a service.
+	maxExplanationBytes = 8 << 20
 )
 
 // Question is a request to be explained.
@@ -143,7 +147,12 @@
 	if res.StatusCode != http.StatusOK {
 		return explanation, fmt.Errorf("the router answered with status %d", res.StatusCode)
 	}
-	if err := json.NewDecoder(res.Body).Decode(&explanation); err != nil {
+	httpresponse.LimitBody(res, maxExplanationBytes)
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return explanation, fmt.Errorf("read explanation: %w", err)
+	}
+	if err := json.Unmarshal(text, &explanation); err != nil {
 		return explanation, fmt.Errorf("decode explanation: %w", err)
 	}
 	return explanation, nil
--- a/internal/standin/answers/answers.go
+++ b/internal/standin/answers/answers.go
@@ -57,6 +57,9 @@
 	outcome    string
 }
 
+// NewCase returns a response that is not in the table.
+func NewCase(text string, end End) Case { return Case{text: text, end: end} }
+
 // Name returns the name of the case.
 func (c Case) Name() string { return c.name }
 
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -137,11 +138,19 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("%s %s%s: %w", method, address, path, readStatusError(resp))
+		statusErr, err := readStatusError(resp)
+		if err != nil {
+			return fmt.Errorf("%s %s%s: %w", method, address, path, err)
+		}
+		return fmt.Errorf("%s %s%s: %w", method, address, path, statusErr)
 	}
 	if err := read(resp.Body); err != nil {
 		return fmt.Errorf("%s %s%s: %w", method, address, path, err)
 	}
-	_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBodyBytes) // makes the connection reusable
+	// Reading to the end shows whether the response breaks off, and makes the connection
+	// reusable.
+	if _, err := io.CopyN(io.Discard, resp.Body, maxErrorBodyBytes); err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%s %s%s: read response: %w", method, address, path, err)
+	}
 	return nil
 }
--- a/internal/upstream/engine/status.go
+++ b/internal/upstream/engine/status.go
@@ -49,15 +49,18 @@
 }
 
 // readStatusError reads an error response with at most maxErrorBodyBytes of its
-// body.
-func readStatusError(resp *http.Response) *StatusError {
-	// If the body cannot be read, the message is what was received of it.
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+// body. A response that breaks off is no rejection, unless its head states that the
+// request did not run.
+func readStatusError(resp *http.Response) (*StatusError, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	if err != nil && !httpresponse.ReportsNotRun(resp) {
+		return nil, fmt.Errorf("read response with status %d: %w", resp.StatusCode, err)
+	}
 	e := &StatusError{status: resp.StatusCode, message: errorMessage(body), retryAfter: httpresponse.RetryAfter(resp.Header)}
 	if httpresponse.ReportsNotRun(resp) {
 		e.verdict = verdict.NotRun
 	}
-	return e
+	return e, nil
 }
 
 // errorMessage returns the message of {"error":{"message":...}}, or else the body
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -223,7 +223,10 @@
 	if resp.StatusCode != http.StatusOK {
 		s.readTimer.Reset(s.client.readTimeout)
 		defer s.readTimer.Stop()
-		statusErr := readStatusError(resp)
+		statusErr, err := readStatusError(resp)
+		if err != nil {
+			return s.readError(resp.Request.Context(), err)
+		}
 		if !s.answersCall(resp) {
 			statusErr.verdict = verdict.Unknown
 		}
