Reset the connection of a caller with HTTP/1.0 if a plain response breaks off

What callers saw: hemlockd passed on a response of a plain service without length that broke off; for a caller with HTTP/1.0 the end of the connection made it look complete.

Cause: the response was aborted by closing the connection, which is the regular end of such a response. hemlock-edge resets the connection instead since TestBrokenStreamHTTP10; hemlockd did not get that.

Fix: the code of hemlock-edge moves to httpapi, where both use it.

--- a/internal/caller/plain/handler.go
+++ b/internal/caller/plain/handler.go
@@ -104,8 +104,8 @@
 }
 
 // ServeHTTP handles one request and reports its summary to the observer. If the
-// response fails after its header was sent, it panics with http.ErrAbortHandler
-// to close the connection, since HTTP has no other way to report the failure.
+// response fails after its header was sent, it aborts the response, since HTTP has no
+// other way to report the failure.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(h, w, r)
 	// Clears a write deadline left by the previous response on this connection,
@@ -117,7 +117,7 @@
 	}
 	x.finish(err)
 	if err != nil && x.headerSent {
-		panic(http.ErrAbortHandler)
+		httpapi.AbortResponse(w, r)
 	}
 }
 
--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -288,6 +289,32 @@
 	}
 }
 
+// TestTruncatedBodyHTTP10 guards against an incomplete response that looks complete to a
+// caller with HTTP/1.0, whose responses end with the connection.
+func TestTruncatedBodyHTTP10(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		env := startEnv(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			if !complete {
+				panic(http.ErrAbortHandler)
+			}
+		})
+		conn, err := net.Dial("tcp4", env.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, "GET /services/orderdesk/orders HTTP/1.0\r\nAuthorization: Bearer key\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(conn)
+		if (err == nil) != complete || complete && !strings.HasSuffix(string(text), "part") {
+			t.Errorf("complete %t: %v, %q", complete, err, text)
+		}
+	}
+}
+
 // TestCallerDisconnect guards against losing the outcome of a call with an
 // idempotency key when its caller disconnects: the call must continue, and a
 // retry must get the recorded response.
--- a/internal/router/forward/job.go
+++ b/internal/router/forward/job.go
@@ -184,7 +184,7 @@
 		j.status = statusClientClosed
 		panic(http.ErrAbortHandler)
 	case j.responseStarted:
-		j.abortResponse()
+		httpapi.AbortResponse(j.writer, j.request)
 	case j.fallback != nil:
 		j.writeResponse(j.fallback)
 	case !j.mayHaveRun:
@@ -196,23 +196,6 @@
 	}
 }
 
-// abortResponse closes the caller's connection, so that the caller sees that the
-// response is incomplete. The end of the connection is the end of a complete
-// response for a caller with HTTP/1.0, to whom only a reset shows the difference.
-func (j *job) abortResponse() {
-	if !j.request.ProtoAtLeast(1, 1) {
-		if c, _, err := http.NewResponseController(j.writer).Hijack(); err == nil {
-			if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
-				// An error means that the connection is closed already.
-				_ = l.SetLinger(0)
-			}
-			_ = c.Close()
-			return
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 func retryAfter(err error) time.Duration {
 	var quarantined *quarantineError
 	if errors.As(err, &quarantined) {
