Fuzz the reader of responses against that of net/http

FuzzReadResponse checks that what ReadResponse accepts has a valid status and valid names, and the body that net/http reads of the same bytes.

--- a/Makefile
+++ b/Makefile
@@ -28,13 +28,14 @@
 	$(TEST) $(SKIP) $(FAILURE) -failure.logs $(CURDIR)/target/failure-logs
 	$(TEST) $(SKIP) -p 1 -run '^TestCrowd' $(CROWD)
 
-# Fuzzes the parsers of callers' heads, chunks, bodies and prompts.
+# Fuzzes the parsers of callers' heads, chunks, bodies and prompts, and of responses.
 FUZZTIME ?= 5s
 FUZZ = $(GO) test -run '^$$' -fuzzminimizetime 1x -fuzztime $(FUZZTIME)
 fuzz:
 	$(FUZZ) -fuzz FuzzConnection ./internal/caller/httpserver
 	$(FUZZ) -fuzz FuzzReadBody ./internal/caller/intake
 	$(FUZZ) -fuzz FuzzParsePrompt ./platform
+	$(FUZZ) -fuzz FuzzReadResponse ./internal/upstream/http1wire
 
 lint:
 	test -z "$$(gofumpt -l . | tee /dev/stderr)"
--- a/internal/standin/answers/answers.go
+++ b/internal/standin/answers/answers.go
@@ -155,7 +155,7 @@
 			return
 		}
 	}
-	if _, err := io.WriteString(c, content.fill(current.text, r.Header.Get("Request-Id"))); err != nil {
+	if _, err := io.WriteString(c, content.Fill(current, r.Header.Get("Request-Id"))); err != nil {
 		return
 	}
 	current.end.apply(tcp)
@@ -185,14 +185,14 @@
 	return faults, nil
 }
 
-// fill returns a response with its placeholders replaced.
-func (c Content) fill(text, id string) string {
+// Fill returns the bytes of a response to the request with an id.
+func (c Content) Fill(response Case, id string) string {
 	ids := strings.NewReplacer("{id}", id)
 	body := ids.Replace(c.body)
 	return strings.NewReplacer(
 		"{fields}", ids.Replace(c.fields), "{body}", body, "{part}", body[:len(body)/2],
 		"{length}", strconv.Itoa(len(body)), "{size}", strconv.FormatInt(int64(len(body)), 16),
-	).Replace(text)
+	).Replace(response.text)
 }
 
 func (e End) apply(c *net.TCPConn) {
--- a/internal/upstream/http1wire/head.go
+++ b/internal/upstream/http1wire/head.go
@@ -32,11 +32,12 @@
 	reader *bufio.Reader
 	// limit is the largest size in bytes.
 	limit int
-	text  []byte
+	// lineFeeds allows lines that end with LF alone, as RFC 9112 lets recipients do.
+	lineFeeds bool
+	text      []byte
 }
 
-// next returns the next line without its end, which is CRLF or, as RFC 9112 lets
-// recipients accept, LF alone.
+// next returns the next line without its end.
 func (s *section) next() ([]byte, error) {
 	start := len(s.text)
 	for {
@@ -54,8 +55,11 @@
 		if err != nil {
 			return nil, err
 		}
-		line := s.text[start : len(s.text)-1]
-		return bytes.TrimSuffix(line, []byte("\r")), nil
+		line, found := bytes.CutSuffix(s.text[start:len(s.text)-1], []byte("\r"))
+		if !found && !s.lineFeeds {
+			return nil, malformed("line end", line)
+		}
+		return line, nil
 	}
 }
 
@@ -154,7 +158,7 @@
 // readHead reads the head of a response, at most limit bytes. io.EOF means that there is
 // none.
 func readHead(r *bufio.Reader, limit int) ([]byte, error) {
-	s := section{reader: r, limit: limit, text: make([]byte, 0, usualHeadBytes)}
+	s := section{reader: r, limit: limit, lineFeeds: true, text: make([]byte, 0, usualHeadBytes)}
 	statusLine, err := s.next()
 	if err != nil {
 		return nil, err
