Limit the TLS handshake of strict transports and test them behind a proxy

A transport with its own function for TLS connections does not apply its limit on the handshake, so a silent server of the host list would have kept a connection and a goroutine. Strict now applies it, 10 s where none is set, and offers HTTP/1.1 only.

--- a/internal/upstream/http1wire/conn.go
+++ b/internal/upstream/http1wire/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -19,6 +20,8 @@
 	readBufferBytes = 2 << 10
 	// defaultMaxHead is the limit of a head where the transport states none, in bytes.
 	defaultMaxHead = 64 << 10
+	// defaultHandshakeTimeout limits a TLS handshake where the transport states no limit.
+	defaultHandshakeTimeout = 10 * time.Second
 )
 
 // ErrUnsolicited means that a server sent bytes on an idle connection.
@@ -46,40 +49,39 @@
 		return newConn(c, maxHead), nil
 	}
 	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialTLS(ctx, dial, t.TLSClientConfig, network, address)
+		raw, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
+		c, err := startTLS(ctx, raw, address, t)
+		if err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
 		return newConn(c, maxHead), nil
 	}
 	return t
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// dialTLS opens a connection as a transport does by itself, with HTTP/1.1 only.
-func dialTLS(ctx context.Context, dial dialFunc, config *tls.Config, network, address string) (net.Conn, error) {
+// startTLS does the handshake of a connection as a transport does by itself, with
+// HTTP/1.1 only.
+func startTLS(ctx context.Context, raw net.Conn, address string, t *http.Transport) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
 	}
-	config = config.Clone()
+	config := t.TLSClientConfig.Clone()
 	if config == nil {
 		config = &tls.Config{}
 	}
 	if config.ServerName == "" {
 		config.ServerName = host
 	}
-	raw, err := dial(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
+	config.NextProtos = nil
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.TLSHandshakeTimeout, defaultHandshakeTimeout))
+	defer cancel()
 	c := tls.Client(raw, config)
-	if err := c.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
-		return nil, err
-	}
-	return c, nil
+	return c, c.HandshakeContext(ctx)
 }
 
 // conn is a connection of a client of net/http. Reads return the bytes of responses that
--- a/internal/upstream/http1wire/conn_test.go
+++ b/internal/upstream/http1wire/conn_test.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/answers"
+	"github.com/hemlockcroft/hemlockcroft/internal/standin/rawserver"
 )
 
 // longUploadBytes is more than the kernel takes of an upload that is not read.
@@ -134,6 +136,54 @@
 	return len(text), err
 }
 
+// TestProxy guards against a proxy for https that cannot be used any more.
+func TestProxy(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "the body")
+	}))
+	defer server.Close()
+	proxy, err := rawserver.Listen(func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil || r.Method != http.MethodConnect {
+			return
+		}
+		target, err := net.Dial("tcp4", r.Host)
+		if err != nil {
+			return
+		}
+		defer target.Close()
+		if _, err := io.WriteString(c, "HTTP/1.1 200 Connection established\r\n\r\n"); err != nil {
+			return
+		}
+		ended := make(chan error, 1)
+		go func() {
+			_, err := io.Copy(target, c)
+			ended <- errors.Join(err, target.Close())
+		}()
+		_, _ = io.Copy(c, target)
+		_ = c.Close()
+		<-ended
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.Close()
+	transport, ok := server.Client().Transport.(*http.Transport)
+	if !ok {
+		t.Fatal("the test server has another transport")
+	}
+	transport = transport.Clone()
+	transport.Proxy = http.ProxyURL(&url.URL{Scheme: "http", Host: proxy.Address()})
+	transport.DialContext = nil
+	client := &http.Client{Transport: Strict(transport)}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		if n, err := readAll(client, http.MethodGet, server.URL); n != len("the body") || err != nil {
+			t.Errorf("%d bytes, %v", n, err)
+		}
+	}
+}
+
 // TestUnsolicited guards against bytes on an idle connection that are taken for the
 // response to the next request.
 func TestUnsolicited(t *testing.T) {
