Share what the stand-ins of raw responses and their tests have in common

The tables of flood and answers are read by one function, and the tests of plain services and of http1wire.Strict play the table by answers.Play, which starts a server for each response, so that no reader meets a connection that is closing. The checks are the same: a response counts as taken for whole in any form in which it is passed on.

--- a/internal/host/edge/broken_answers_test.go
+++ b/internal/host/edge/broken_answers_test.go
@@ -48,7 +48,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			faults, err := answers.Play(read.content, read.read)
+			faults, err := answers.Play(read.content, false, read.read)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/operator/ctl/broken_answers_test.go
+++ b/internal/operator/ctl/broken_answers_test.go
@@ -13,7 +13,7 @@
 // taken for a router's, and against losing a sound one.
 func TestBrokenAnswers(t *testing.T) {
 	client := newRouterClient()
-	faults, err := answers.Play(answers.NewContent("Content-Type: application/json\r\n", `{"version":7}`), func(address string, _ answers.Case) error {
+	faults, err := answers.Play(answers.NewContent("Content-Type: application/json\r\n", `{"version":7}`), false, func(address string, _ answers.Case) error {
 		_, err := client.send(context.Background(), router{address: address}, http.MethodPut, "/config", []byte("document"))
 		return err
 	})
--- a/internal/platform/etcd/broken_answers_test.go
+++ b/internal/platform/etcd/broken_answers_test.go
@@ -11,7 +11,7 @@
 // TestBrokenAnswers guards against a response that violates HTTP/1.1 or breaks off and is
 // taken for the service's, and against losing a sound one.
 func TestBrokenAnswers(t *testing.T) {
-	faults, err := answers.Play(answers.NewContent("Content-Type: application/json\r\n", `{"header":{"revision":"7"},"count":"0"}`), func(address string, _ answers.Case) error {
+	faults, err := answers.Play(answers.NewContent("Content-Type: application/json\r\n", `{"header":{"revision":"7"},"count":"0"}`), false, func(address string, _ answers.Case) error {
 		_, _, err := New([]string{"http://" + address}).List(context.Background(), "/")
 		return err
 	})
--- a/internal/standin/answers/answers.go
+++ b/internal/standin/answers/answers.go
@@ -77,26 +77,21 @@
 
 // Cases returns the cases of cases.txt.
 func Cases() ([]Case, error) {
-	var lines []string
-	for line := range strings.Lines(casesText) {
-		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
-			lines = append(lines, line)
-		}
-	}
-	if len(lines)%linesPerCase != 0 {
-		return nil, fmt.Errorf("%d lines, expected %d for each case", len(lines), linesPerCase)
+	table, err := rawserver.ReadTable(casesText, linesPerCase)
+	if err != nil {
+		return nil, err
 	}
 	var cases []Case
-	for i := 0; i < len(lines); i += linesPerCase {
-		text, err := strconv.Unquote(lines[i+1])
+	for _, lines := range table {
+		text, err := strconv.Unquote(lines[1])
 		if err != nil {
-			return nil, fmt.Errorf("case %q: response: %w", lines[i], err)
+			return nil, fmt.Errorf("case %q: response: %w", lines[0], err)
 		}
-		outcome, end, _ := strings.Cut(lines[i+2], " ")
+		outcome, end, _ := strings.Cut(lines[2], " ")
 		if outcome != whole && outcome != broken && outcome != brokenEnd {
-			return nil, fmt.Errorf("case %q: outcome %q", lines[i], outcome)
+			return nil, fmt.Errorf("case %q: outcome %q", lines[0], outcome)
 		}
-		cases = append(cases, Case{lines[i], text, End(end), outcome})
+		cases = append(cases, Case{lines[0], text, End(end), outcome})
 	}
 	return cases, nil
 }
@@ -162,8 +157,9 @@
 }
 
 // Play has a reader read each response from a server at an address, and returns a text
-// for each that the reader takes for whole although it is not, or the reverse.
-func Play(content Content, read func(address string, c Case) error) ([]string, error) {
+// for each that the reader takes for whole although it is not, or the reverse. An early
+// response is sent while the body of the request is being received.
+func Play(content Content, early bool, read func(address string, c Case) error) ([]string, error) {
 	cases, err := Cases()
 	if err != nil {
 		return nil, err
@@ -175,7 +171,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.Set(c, content, false)
+		s.Set(c, content, early)
 		err = read(s.Address(), c)
 		s.Close()
 		if (err == nil) != c.Whole() {
--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -35,26 +35,21 @@
 
 // Cases returns the cases of cases.txt.
 func Cases() ([]Case, error) {
-	var lines []string
-	for line := range strings.Lines(casesText) {
-		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
-			lines = append(lines, line)
-		}
-	}
-	if len(lines)%linesPerCase != 0 {
-		return nil, fmt.Errorf("%d lines, expected %d for each case", len(lines), linesPerCase)
+	table, err := rawserver.ReadTable(casesText, linesPerCase)
+	if err != nil {
+		return nil, err
 	}
 	var cases []Case
-	for i := 0; i < len(lines); i += linesPerCase {
-		start, err := strconv.Unquote(lines[i+1])
+	for _, lines := range table {
+		start, err := strconv.Unquote(lines[1])
 		if err != nil {
-			return nil, fmt.Errorf("case %q: start: %w", lines[i], err)
+			return nil, fmt.Errorf("case %q: start: %w", lines[0], err)
 		}
-		repeated, err := strconv.Unquote(lines[i+2])
+		repeated, err := strconv.Unquote(lines[2])
 		if err != nil {
-			return nil, fmt.Errorf("case %q: repeated bytes: %w", lines[i], err)
+			return nil, fmt.Errorf("case %q: repeated bytes: %w", lines[0], err)
 		}
-		cases = append(cases, Case{lines[i], start, repeated})
+		cases = append(cases, Case{lines[0], start, repeated})
 	}
 	return cases, nil
 }
--- a/internal/standin/rawserver/doc.go
+++ b/internal/standin/rawserver/doc.go
@@ -1,3 +1,3 @@
-// Package rawserver accepts connections for stand-ins that write raw bytes to them. The
-// packages flood and answers use it.
+// Package rawserver accepts connections for stand-ins that write raw bytes to them, and
+// reads their tables of responses. The packages flood and answers use it.
 package rawserver
--- a/internal/upstream/engine/broken_answers_test.go
+++ b/internal/upstream/engine/broken_answers_test.go
@@ -14,7 +14,7 @@
 // taken for the engine's, and against losing a sound one.
 func TestBrokenAnswers(t *testing.T) {
 	c := New(transport.New())
-	faults, err := answers.Play(answers.NewContent("Content-Type: application/json\r\n", `{"boot_id":"b","state":"warm"}`), func(address string, _ answers.Case) error {
+	faults, err := answers.Play(answers.NewContent("Content-Type: application/json\r\n", `{"boot_id":"b","state":"warm"}`), false, func(address string, _ answers.Case) error {
 		_, err := c.LoadReport(context.Background(), address)
 		return err
 	})
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	stream := "id: 5:1\ndata: {\"choices\":[]}\n\nid: 5:2\ndata: [DONE]\n\n"
-	streamFaults, err := answers.Play(answers.NewContent("Content-Type: text/event-stream\r\n", stream), func(address string, played answers.Case) error {
+	streamFaults, err := answers.Play(answers.NewContent("Content-Type: text/event-stream\r\n", stream), false, func(address string, played answers.Case) error {
 		_, err := c.Stream(context.Background(), Call{Address: address, RequestID: "r", Attempt: 5}, func(Chunk) error { return nil })
 		if played.BodyArrives() && !played.Whole() && err == nil {
 			// [DONE] ends a stream, whatever follows it.
--- a/internal/upstream/http1wire/conn_test.go
+++ b/internal/upstream/http1wire/conn_test.go
@@ -24,30 +24,32 @@
 // TestBrokenAnswers guards against a client of net/http that takes a response that
 // violates HTTP/1.1 or breaks off for a response, or that loses a sound one.
 func TestBrokenAnswers(t *testing.T) {
-	cases, err := answers.Cases()
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err := answers.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
-	uploads := map[bool]string{false: "short", true: strings.Repeat("0123456789abcdef", longUploadBytes/16)}
-	bodies := map[string]string{"short": "the body", "long": strings.Repeat("the body ", 50_000)}
 	transport := Strict(&http.Transport{})
-	for _, c := range cases {
-		for early, upload := range uploads {
-			for size, body := range bodies {
-				t.Run(fmt.Sprintf("%s/%s/early=%t", c.Name(), size, early), func(t *testing.T) {
-					server.Set(c, answers.NewContent("Connection: close\r\n", body), early)
-					status, got, err := post(transport, server.Address(), upload)
-					if whole := err == nil; whole != c.Whole() || whole && (status != http.StatusOK || got != body) {
-						t.Errorf("status %d, %d bytes, %v", status, len(got), err)
-					}
-				})
+	for _, c := range []struct {
+		early        bool
+		upload, body string
+	}{
+		{false, "short", "the body"},
+		{false, "short", strings.Repeat("the body ", 50_000)},
+		{true, strings.Repeat("0123456789abcdef", longUploadBytes/16), "the body"},
+		{true, strings.Repeat("0123456789abcdef", longUploadBytes/16), strings.Repeat("the body ", 50_000)},
+	} {
+		t.Run(fmt.Sprintf("early=%t, %d bytes", c.early, len(c.body)), func(t *testing.T) {
+			t.Parallel()
+			faults, err := answers.Play(answers.NewContent("", c.body), c.early, func(address string, played answers.Case) error {
+				status, text, err := post(transport, address, c.upload)
+				if err == nil && played.Whole() && (status != http.StatusOK || text != c.body) {
+					err = fmt.Errorf("status %d, %d bytes", status, len(text))
+				}
+				return err
+			})
+			if err != nil {
+				t.Fatal(err)
 			}
-		}
+			if len(faults) > 0 {
+				t.Error(strings.Join(faults, "\n"))
+			}
+		})
 	}
 }
 
--- a/internal/upstream/plain/broken_answers_test.go
+++ b/internal/upstream/plain/broken_answers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/answers"
@@ -15,27 +16,26 @@
 // taken for the service's, and against losing a sound one, also if it comes while the
 // call is being sent.
 func TestBrokenAnswers(t *testing.T) {
-	cases, err := answers.Cases()
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err := answers.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
 	client := New(transport.New())
-	const longUploadBytes = 12 << 20
-	for _, c := range cases {
-		for _, upload := range []int{5, 100 << 10, longUploadBytes} {
-			t.Run(fmt.Sprintf("%s/upload=%d", c.Name(), upload), func(t *testing.T) {
-				server.Set(c, answers.NewContent("", "the body"), upload > 5)
-				text, err := read(client, Call{Address: server.Address(), Method: http.MethodPost, Path: "/", RequestID: "r", Body: make([]byte, upload)})
-				if whole := err == nil; whole != c.Whole() || whole && text != "the body" {
-					t.Errorf("%q, %v", text, err)
+	// The kernel takes the second at once, but not the third.
+	for upload, early := range map[int]bool{5: false, 100 << 10: true, 12 << 20: true} {
+		t.Run(fmt.Sprint(upload), func(t *testing.T) {
+			t.Parallel()
+			body := make([]byte, upload)
+			faults, err := answers.Play(answers.NewContent("", "the body"), early, func(address string, played answers.Case) error {
+				text, err := read(client, Call{Address: address, Method: http.MethodPost, Path: "/", RequestID: "r", Body: body})
+				if err == nil && played.Whole() && text != "the body" {
+					err = fmt.Errorf("body %q", text)
 				}
+				return err
 			})
-		}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(faults) > 0 {
+				t.Error(strings.Join(faults, "\n"))
+			}
+		})
 	}
 }
 
