Hold a failed write of a strict connection until the connection is closed

What was seen: a call whose body is a stream without end did not return after the server had reset its connection; found while reading the diff again.

Cause: http1wire.Strict hid a failed write as a success, so net/http read the body on and waited for its end. For an early response without body it could also have put the dead connection back into its pool.

Fix: a write that fails after the first part waits until the connection is closed and then fails. net/http closes it when the response fails, has been read or is given up, so an early response is still read to its end, and nothing more of the body is read meanwhile.

--- a/internal/upstream/http1wire/conn.go
+++ b/internal/upstream/http1wire/conn.go
@@ -107,31 +107,44 @@
 	// many of its bytes were written.
 	method string
 	sent   int
+
+	closeOnce sync.Once
+	closed    chan struct{}
 }
 
 func newConn(c net.Conn, maxHead int) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), maxHead: maxHead}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), maxHead: maxHead, closed: make(chan struct{})}
 }
 
-// Write writes a part of a request. After the first part, it hides a failure: the server
-// may have responded before, and reads fail if it has not.
+// Write writes a part of a request. After the first part, it holds back a failure until
+// the connection is closed: the server may have responded before, which net/http would
+// give up, and reads fail if it has not.
 func (c *conn) Write(p []byte) (int, error) {
 	begun := c.beginWrite(p)
+	n, err := c.write(p)
+	if err != nil && (begun || n > 0) {
+		<-c.closed
+	}
+	return n, err
+}
+
+func (c *conn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.writeErr != nil {
-		return len(p), nil
+		return 0, c.writeErr
 	}
 	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.writeErr = err
-		if begun || n > 0 {
-			return len(p), nil
-		}
-	}
+	c.writeErr = err
 	return n, err
 }
 
+// Close closes the connection, which ends reads and writes.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // beginWrite records the method if p starts a request, and reports whether an earlier
 // write did.
 func (c *conn) beginWrite(p []byte) (begun bool) {
--- a/internal/upstream/http1wire/conn_test.go
+++ b/internal/upstream/http1wire/conn_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/answers"
 	"github.com/hemlockcroft/hemlockcroft/internal/standin/rawserver"
@@ -67,6 +68,61 @@
 	return response.StatusCode, string(read), err
 }
 
+// endlessBody is the body of a request that never ends.
+type endlessBody struct {
+	reads  atomic.Int64
+	closed chan struct{}
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.reads.Add(1)
+	return len(p), nil
+}
+
+func (b *endlessBody) Close() error {
+	close(b.closed)
+	return nil
+}
+
+// TestEndlessUpload guards against reading the body of a request on after its connection
+// has failed, also while an early response is being read.
+func TestEndlessUpload(t *testing.T) {
+	server, err := answers.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	for head, status := range map[string]int{"HTTP/1.1 200 OK\r\n": 0, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody": http.StatusOK, "HTTP/1.1 204 None\r\n\r\n": http.StatusNoContent} {
+		server.Set(answers.NewCase(head, answers.Reset), answers.NewContent("", ""), true)
+		body := &endlessBody{closed: make(chan struct{})}
+		r, err := http.NewRequest(http.MethodPost, "http://"+server.Address()+"/", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		transport := Strict(&http.Transport{})
+		response, err := transport.RoundTrip(r)
+		if (err == nil) != (status > 0) {
+			t.Fatalf("%q: %v", head, err)
+		}
+		if err == nil {
+			time.Sleep(100 * time.Millisecond) // the reset arrives
+			before := body.reads.Load()
+			time.Sleep(100 * time.Millisecond)
+			if n := body.reads.Load() - before; n > 0 || response.StatusCode != status {
+				t.Errorf("%q: status %d, body read %d times after the reset", head, response.StatusCode, n)
+			}
+			if err := response.Body.Close(); err != nil {
+				t.Error(err)
+			}
+		}
+		select {
+		case <-body.closed:
+		case <-time.After(5 * time.Second):
+			t.Errorf("%q: the body is open 5 s after the end", head)
+		}
+	}
+}
+
 // TestReuse guards against losing track of where the next response begins, which would
 // cost a connection for each request, over HTTP and HTTPS.
 func TestReuse(t *testing.T) {
