--- a/internal/standin/answers/answers.go
+++ b/internal/standin/answers/answers.go
@@ -75,6 +75,9 @@
 // BodyArrives reports whether the whole body arrives, with or without a fault after it.
 func (c Case) BodyArrives() bool { return c.outcome != broken }
 
+// EndsInOrder reports whether the server ends its side in order after the response.
+func (c Case) EndsInOrder() bool { return c.end == Shutdown || c.end == ShutdownReset }
+
 // Cases returns the cases of cases.txt.
 func Cases() ([]Case, error) {
 	table, err := rawserver.ReadTable(casesText, linesPerCase)
--- a/internal/upstream/http1wire/conn.go
+++ b/internal/upstream/http1wire/conn.go
@@ -104,7 +104,7 @@
 
 	mu sync.Mutex
 	// method is that of the request in progress, empty while there is none, and sent how
-	// many of its bytes were written.
+	// many of its bytes were passed to Write.
 	method string
 	sent   int
 
@@ -159,7 +159,8 @@
 	return begun
 }
 
-// maxMethodBytes bounds what is kept of a method.
+// maxMethodBytes bounds what is kept of a method. Only HEAD and CONNECT, which change
+// where a response ends, must fit.
 const maxMethodBytes = 16
 
 // Read implements io.Reader.
@@ -233,9 +234,10 @@
 	chunkSizeBytes  = len("0000\r\n")
 	chunkEnd        = "\r\n"
 	lastChunk       = "0\r\n\r\n"
-	// maxChunk is the largest chunk of that format.
+	// maxChunk is the largest chunk of that format, in bytes.
 	maxChunk = 1<<16 - 1
-	// minChunkRead is the smallest buffer into which a chunk is read directly.
+	// minChunkRead is the smallest buffer into which a chunk is read directly, in bytes. It
+	// has room for the lines around the chunk.
 	minChunkRead = 64
 )
 
