Kill routers in naive_stop only while streams are in progress there

Cause: the routers were killed at a fixed time, whatever they were doing. Most of the 60 requests wait for admission; about 16 stream at a time, through 6 routers.

The logs of the failed run are lost, so the cause is not shown for that run itself.

Fix: the load generator serves the streams in progress by router. The option streaming of kill pauses a router, counts its streams once the generator has read what was sent before, and goes on only with at least one.

--- a/cmd/hemlock-standin/call.go
+++ b/cmd/hemlock-standin/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -48,12 +49,13 @@
 
 func loadCommand() *cobra.Command {
 	o := loadgen.Defaults()
-	var refusedFile string
+	o.OpenStreams = loadgen.NewOpenStreams()
+	var refusedFile, control string
 	c := &cobra.Command{
 		Use: "load", Short: "Load generator of returning chats", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			c.Printf("seed=%d\n", o.Seed)
-			result, err := loadgen.Run(c.Context(), o)
+			result, err := runLoad(c.Context(), o, control)
 			if err != nil {
 				return err
 			}
@@ -75,6 +77,7 @@
 	f := c.Flags()
 	f.StringSliceVar(&o.RouterAddresses, "address", nil, "address of a router (repeatable)")
 	f.StringSliceVar(&o.ReadinessURLs, "ready", nil, "readiness URL of each router, in the order of the addresses; routers that are not ready get no requests")
+	f.StringVar(&control, "control", "", "address of the HTTP server with the streams in progress by router; empty for none")
 	f.StringVar(&refusedFile, "refused-file", "", "output file for the IDs of requests that were rejected as not executed")
 	f.StringToStringVar(&o.APIKeys, "key", nil, "workspace=KEY (repeatable)")
 	f.StringVar(&o.Model, "model", o.Model, "model")
@@ -102,6 +105,24 @@
 	return c
 }
 
+// runLoad runs the load generator and serves its streams in progress at the address
+// control, unless that is empty.
+func runLoad(ctx context.Context, o loadgen.Options, control string) (*loadgen.Result, error) {
+	if control == "" {
+		return loadgen.Run(ctx, o)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	serveErr := make(chan error, 1)
+	go func() {
+		defer cancel()
+		serveErr <- standin.Serve(ctx, "load", control, o.OpenStreams)
+	}()
+	result, err := loadgen.Run(ctx, o)
+	cancel()
+	return result, errors.Join(err, <-serveErr)
+}
+
 // timedCheckCommand returns a subcommand of check that runs with a timeout.
 func timedCheckCommand(name, short string, run func(ctx context.Context, c *cobra.Command) error) *cobra.Command {
 	var timeout time.Duration
--- a/internal/host/failure/script_test.go
+++ b/internal/host/failure/script_test.go
@@ -133,8 +133,13 @@
 	return n
 }
 
+// signalNode sends a signal to a process. With the option streaming, it first pauses
+// the router at a time when streams of the named load are in progress there.
 func (h *harness) signalNode(o options, s syscall.Signal) string {
 	n := h.targetNode(o)
+	if o["streaming"] != "" {
+		h.pauseWithStreams(o["streaming"], n)
+	}
 	h.lastChange = time.Now()
 	if err := n.signal(s); err != nil {
 		h.t.Fatal(err)
--- a/internal/standin/loadgen/call.go
+++ b/internal/standin/loadgen/call.go
@@ -27,6 +27,7 @@
 	Model    string
 	Messages []engine.Message
 	Stream   bool
+	OnStream func() // called when a stream begins, if set
 }
 
 // ChatResponse is the response to a chat request. Complete means that all of it
@@ -97,6 +98,9 @@
 	case response.StatusCode != http.StatusOK:
 		_, _ = io.Copy(io.Discard, response.Body) // drained for connection reuse; the body isn't used
 	case c.Stream:
+		if c.OnStream != nil {
+			c.OnStream()
+		}
 		result.readStream(response.Body, start)
 	default:
 		result.readCompletion(response.Body)
