Read any number of informational responses before the final one

Cause: http1 counted informational responses against maxUnmatched, the bound on responses to other requests.

Fix: ReadResponse skips informational responses. Their heads and the final one have the limit of one head together, as net/http has it, so that informational responses without end still end the attempt. RFC 9110 lets a server send one or more of them before the final response.

The fuzz test now skips informational responses on both sides and no longer accepts one as the result.

--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -19,9 +19,8 @@
 )
 
 const (
-	// maxUnmatched bounds the responses that are read for one request. Informational
-	// responses and those to other requests are skipped; if none of the responses
-	// matches, the connection is closed.
+	// maxUnmatched bounds the responses that are read for one request. Those to other
+	// requests are skipped; if none of the responses matches, the connection is closed.
 	maxUnmatched = 3
 	// inlineBodyBytes is the size up to which a body is written before the response
 	// is read; it fits in the socket buffer.
@@ -256,9 +255,6 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if q.Matches(resp.StatusCode, resp.Header, first) {
 			c.idleTimeout = keepAliveTimeout(resp.Header)
 			return &Response{
--- a/internal/upstream/http1wire/fuzz_test.go
+++ b/internal/upstream/http1wire/fuzz_test.go
@@ -33,7 +33,7 @@
 			return
 		}
 		body, err := io.ReadAll(response.Body)
-		if response.StatusCode < 100 || response.StatusCode > 599 {
+		if response.StatusCode < 200 || response.StatusCode > 599 {
 			t.Errorf("accepted status %d", response.StatusCode)
 		}
 		for name := range response.Header {
@@ -41,7 +41,11 @@
 				t.Errorf("accepted field %q", name)
 			}
 		}
-		known, knownErr := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+		knownReader := bufio.NewReader(strings.NewReader(text))
+		known, knownErr := http.ReadResponse(knownReader, nil)
+		for knownErr == nil && known.StatusCode < http.StatusOK {
+			known, knownErr = http.ReadResponse(knownReader, nil)
+		}
 		if knownErr != nil {
 			t.Fatalf("net/http rejects %q: %v", text, knownErr)
 		}
--- a/internal/upstream/http1wire/response.go
+++ b/internal/upstream/http1wire/response.go
@@ -10,20 +10,27 @@
 	"net/http/httputil"
 )
 
-// ReadResponse reads the head of the response to a request with a method, at most
-// maxHead bytes. Unlike that of net/http it rejects status lines, fields and lengths that
-// violate RFC 9112, with ErrMalformed. The response may be informational. Its body reads
-// from r; io.EOF means that the body is complete, or, if UntilClose, that the connection
-// has ended. Trailers are checked and discarded.
+// ReadResponse reads the head of the final response to a request with a method. It skips
+// informational responses, whose heads and the final one have at most maxHead bytes
+// together, as with net/http. Unlike net/http it rejects status lines, fields and lengths
+// that violate RFC 9112, with ErrMalformed. The body reads from r; io.EOF means that the
+// body is complete, or, if UntilClose, that the connection has ended. Trailers are checked
+// and discarded.
 func ReadResponse(r *bufio.Reader, method string, maxHead int) (*http.Response, error) {
-	head, err := readHead(r, maxHead)
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
-	if err != nil {
-		return nil, err
+	for left := maxHead; ; {
+		head, err := readHead(r, left)
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		response, err := parseHead(head, r, method, maxHead)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+		left -= len(head)
 	}
-	return parseHead(head, r, method, maxHead)
 }
 
 // parseHead parses a head that readHead has accepted and returns the response, whose
--- a/internal/upstream/http1wire/response_test.go
+++ b/internal/upstream/http1wire/response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,24 +26,30 @@
 		if !c.EndsInOrder() {
 			continue
 		}
-		text, err := readFinal(answers.NewContent("X-Known: a\r\n", "the body").Fill(c, ""))
+		text, err := readBody(answers.NewContent("X-Known: a\r\n", "the body").Fill(c, ""))
 		if whole := err == nil; whole != c.Whole() || whole && text != "the body" {
 			t.Errorf("%s: %q, %v", c.Name(), text, err)
 		}
 	}
 }
 
-// readFinal returns the body of the first response that is not informational.
-func readFinal(text string) (string, error) {
-	r := bufio.NewReader(strings.NewReader(text))
-	for {
-		response, err := ReadResponse(r, http.MethodPost, defaultMaxHead)
-		if err != nil {
-			return "", err
-		}
-		if response.StatusCode >= http.StatusOK {
-			body, err := io.ReadAll(response.Body)
-			return string(body), err
+// readBody returns the body of a response.
+func readBody(text string) (string, error) {
+	response, err := ReadResponse(bufio.NewReader(strings.NewReader(text)), http.MethodPost, defaultMaxHead)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+// TestInformationalHeads guards against informational responses without end.
+func TestInformationalHeads(t *testing.T) {
+	const informational, final = "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"
+	const fit = (defaultMaxHead - len(final)) / len(informational)
+	for count, want := range map[int]error{0: nil, fit: nil, fit + 1: ErrHeadTooLong} {
+		if _, err := readBody(strings.Repeat(informational, count) + final); !errors.Is(err, want) {
+			t.Errorf("%d informational responses: %v, want %v", count, err, want)
 		}
 	}
 }
