--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -109,7 +109,8 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if errors.Is(err, io.EOF) && r.untilClose {
-		err = r.checkEnd()
+		// This ends the sending of the request, since the response is over.
+		err = http1wire.EndOfConnection(r.conn, r.sending.wait)
 	}
 	if errors.Is(err, io.EOF) {
 		r.bodyRead = true
@@ -117,17 +118,6 @@
 	return n, err
 }
 
-// checkEnd returns io.EOF if the upstream ended the connection in order. It ends the
-// sending of the request, since the response is over.
-func (r *Response) checkEnd() error {
-	// An error means that the connection is closed already.
-	_ = r.conn.SetWriteDeadline(past)
-	if err := r.sending.wait(); !http1wire.EndedInOrder(err) {
-		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
-	}
-	return io.EOF
-}
-
 // ReadRest reads the rest of the body, at most limit bytes and for at most a time.
 // The connection is reused only if the body ends within both.
 func (r *Response) ReadRest(limit int64, timeout time.Duration) {
--- a/internal/upstream/http1wire/conn.go
+++ b/internal/upstream/http1wire/conn.go
@@ -103,10 +103,10 @@
 	writeErr error
 
 	mu sync.Mutex
-	// method is that of the request in progress, empty while there is none, and sent how
-	// many of its bytes were passed to Write.
+	// method is that of the request in progress, empty while there is none, and begun is
+	// set once a part of it was passed to Write.
 	method string
-	sent   int
+	begun  bool
 
 	closeOnce sync.Once
 	closed    chan struct{}
@@ -152,10 +152,9 @@
 	defer c.mu.Unlock()
 	if c.method == "" {
 		method, _, _ := bytes.Cut(p, []byte(" "))
-		c.method, c.sent = string(method[:min(len(method), maxMethodBytes)]), 0
+		c.method, c.begun = string(method[:min(len(method), maxMethodBytes)]), false
 	}
-	begun = c.sent > 0
-	c.sent += len(p)
+	begun, c.begun = c.begun, c.begun || len(p) > 0
 	return begun
 }
 
@@ -263,7 +262,7 @@
 	n, err := c.body.Read(p)
 	switch {
 	case errors.Is(err, io.EOF) && c.untilClose:
-		return n, c.checkEnd()
+		return n, EndOfConnection(c.Conn, c.lastWriteError)
 	case errors.Is(err, io.EOF):
 		c.endResponse()
 		return n, nil
@@ -271,17 +270,6 @@
 	return n, c.readError(err)
 }
 
-// checkEnd returns io.EOF if the server ended the connection in order.
-func (c *conn) checkEnd() error {
-	// An error means that the connection is closed already. Otherwise a write in
-	// progress ends now.
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
-	if err := c.lastWriteError(); !EndedInOrder(err) {
-		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
-	}
-	return io.EOF
-}
-
 // lastWriteError waits for the write in progress.
 func (c *conn) lastWriteError() error {
 	c.writing.Lock()
--- a/internal/upstream/http1wire/response.go
+++ b/internal/upstream/http1wire/response.go
@@ -83,20 +83,20 @@
 type chunkedBody struct {
 	chunks  io.Reader
 	trailer section
-	// lastChunk is set once the last chunk is read, and err once the body has ended.
-	lastChunk bool
+	// inTrailer is set once the last chunk is read, and err once the body has ended.
+	inTrailer bool
 	err       error
 }
 
 // Read implements io.Reader.
 func (b *chunkedBody) Read(p []byte) (int, error) {
 	for b.err == nil {
-		if b.lastChunk {
+		if b.inTrailer {
 			b.err = b.readTrailer()
 			break
 		}
 		n, err := b.chunks.Read(p)
-		if b.lastChunk = errors.Is(err, io.EOF); !b.lastChunk {
+		if b.inTrailer = errors.Is(err, io.EOF); !b.inTrailer {
 			b.err = err
 		}
 		if n > 0 || len(p) == 0 {
--- a/internal/upstream/http1wire/response_test.go
+++ b/internal/upstream/http1wire/response_test.go
@@ -73,7 +73,7 @@
 		{failed(syscall.EHOSTUNREACH), false},
 		{net.ErrClosed, false},
 	} {
-		if got := EndedInOrder(c.writeErr); got != c.want {
+		if got := endedInOrder(c.writeErr); got != c.want {
 			t.Errorf("%v: %t", c.writeErr, got)
 		}
 	}
