Keep the number of upstreams in hemlockd's load bound during a handover

One engine had 13 requests, where twice the mean of 3.9 allows 8. What callers see is slower tokens at an engine that others could have relieved.

Cause: after most engines of a pool were handed over, the digests of the previous owners contained none of them and those of the next owners had not arrived. PoolLoad returned the newest number of receiving upstreams, 1 of 9, and the bound is the factor times the total, which contains the owner's own load, divided by that number: it rose with each admission.

Evidence: the kept logs show the handovers of eight of nine engines at 18.22 s, and 10 new requests at the ninth, whose owner did not change, between 18.7 and 18.8 s; it was back at 2 at 19.3 s.

Fix: PoolLoad returns the highest number of the last 3 s, the window in which it returns the lowest load. Both now err to a lower bound, as the simulation of the bound in internal/router/owner has assumed all along; the floor is not affected.

--- a/internal/router/membership/load.go
+++ b/internal/router/membership/load.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// lowestLoadWindow is the time over which the lowest total is used, and the
-	// age up to which a digest counts unchanged.
+	// lowestLoadWindow is the time over which the lowest total and the highest number
+	// of receiving upstreams are used, and the age up to which a digest counts unchanged.
 	lowestLoadWindow = 3 * time.Second
 	// digestMaxAge is the age after which a digest is ignored.
 	digestMaxAge = 15 * time.Second
@@ -225,8 +225,10 @@
 	}
 }
 
-// PoolLoad returns the lowest total load of a pool within the last 3 s and the
-// number of its upstreams that receive work, including those of this router.
+// PoolLoad returns the lowest total load of a pool and the highest number of its
+// upstreams that receive work within the last 3 s, including those of this router.
+// During a handover the digests of both owners may lack an upstream; a number that
+// lacks most of them would let an owner admit any load.
 func (m *Members) PoolLoad(now time.Time, pool string) (total, receiving int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -242,7 +244,7 @@
 	}
 	for _, h := range p.totals {
 		if now.Sub(h.at) <= lowestLoadWindow {
-			total = min(total, h.load)
+			total, receiving = min(total, h.load), max(receiving, h.receiving)
 		}
 	}
 	return total, receiving
--- a/internal/router/owner/owner.go
+++ b/internal/router/owner/owner.go
@@ -42,7 +42,8 @@
 
 // PoolView returns the load of a pool as far as this router knows it from
 // digests, and the number of its upstreams that accept work. Both include this
-// router's own digests.
+// router's own digests. Where digests differ or are missing, the load is rather too
+// low and the number too high, since the load bound grows with their quotient.
 type PoolView interface {
 	PoolLoad(now time.Time, pool string) (total, receiving int)
 }
