--- a/review/standin3/poison.go
+++ b/review/standin3/poison.go
@@ -11,26 +11,34 @@
 
 func init() {
 	cases["poison"] = func(f *fleet, trouble bool) (bool, error) {
-		return playPoison(f, trouble, os.Getenv("CHUNKED") == "1", 0)
+		return playPoison(f, trouble, os.Getenv("CHUNKED") == "1", 0, "")
+	}
+	cases["night"] = func(f *fleet, trouble bool) (bool, error) { return playPoison(f, trouble, true, quietTime, "") }
+	cases["ids"] = func(f *fleet, trouble bool) (bool, error) {
+		return playPoison(f, trouble, true, 0, strings.Repeat("0123456789", longID/10))
 	}
-	cases["night"] = func(f *fleet, trouble bool) (bool, error) { return playPoison(f, trouble, true, quietTime) }
 }
 
 const (
 	// badPart is the part that crashes workers, restartTime how long one is away then.
 	badPart     = "bad0bad0"
 	restartTime = 3 * time.Second
-	// quietTime is the time without prompts before the first bad one in the case night.
+	// quietTime is the time between a sound prompt and the first bad one in the case night,
+	// and rareTime that between two sound ones then.
 	quietTime = 12 * time.Second
+	rareTime  = 30 * time.Second
+	// longID is by how many bytes the ids are longer in the case ids. A key of the store
+	// may have 200 bytes, with servers/ before the id.
+	longID = 150
 	// allowedAfter is how many requests with the part may reach workers after the time.
 	allowedAfter = 3
 )
 
 // playPoison sends requests with a part of a prompt that crashes each worker that begins
 // to write an answer on it. The workers send their streams in chunks, or with neither a
-// length nor chunks. If quiet is not 0, the sound prompts end that long before the bad ones
-// begin, while orders go on.
-func playPoison(f *fleet, trouble, chunked bool, quiet time.Duration) (bool, error) {
+// length nor chunks. If quiet is not 0, sound prompts become rare, and one comes that long
+// before the bad ones begin, while orders go on. The workers' ids end with pad.
+func playPoison(f *fleet, trouble, chunked bool, quiet time.Duration, pad string) (bool, error) {
 	f.st.put("op/config", config(7, map[string][]string{"studio": {"key-one"}}), 0)
 	var mu sync.Mutex
 	var crashes []time.Time
@@ -78,7 +86,7 @@
 				time.Sleep(restartTime)
 				w.st.remove("servers/" + w.id)
 				w.mu.Lock()
-				w.id = fmt.Sprintf("%s-%d", strings.SplitN(w.id, "-n", 2)[0], n)
+				w.id = fmt.Sprintf("i-again%d%s", n, pad)
 				w.mu.Unlock()
 				if err := w.up(); err == nil {
 					f.rec.printf("worker %s is back", w.id)
@@ -100,7 +108,7 @@
 		return chunked
 	}
 	for i := range 9 {
-		if _, err := f.addWorker(fmt.Sprintf("i-drafter%d", i), "drafter", zones[i%3], 64, serve); err != nil {
+		if _, err := f.addWorker(fmt.Sprintf("i-drafter%d%s", i, pad), "drafter", zones[i%3], 64, serve); err != nil {
 			return false, err
 		}
 	}
@@ -115,18 +123,15 @@
 	if err := f.awaitReady(); err != nil {
 		return false, err
 	}
-	stop, endSound := make(chan struct{}), make(chan struct{})
+	stop, endSound, bad := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	complete, failed, orders := 0, 0, 0
 	var wait sync.WaitGroup
-	send := func(every time.Duration, number int, parts func(i int) string, sound bool) {
+	send := func(every time.Duration, number int, parts func(i int) string, ended chan struct{}) {
+		sound := ended != bad
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
 			for i := 0; ; i++ {
-				ended := stop
-				if sound {
-					ended = endSound
-				}
 				select {
 				case <-stop:
 					return
@@ -158,9 +163,8 @@
 		}()
 	}
 	// Sound requests share the caller and the other parts with the bad ones.
-	send(25*time.Millisecond, 0, func(i int) string {
-		return fmt.Sprintf("aa%02d:200,cc%02d:100,%s:100", i%4, i%13, newID())
-	}, true)
+	soundParts := func(i int) string { return fmt.Sprintf("aa%02d:200,cc%02d:100,%s:100", i%4, i%13, newID()) }
+	send(25*time.Millisecond, 0, soundParts, endSound)
 	wait.Add(1)
 	go func() {
 		defer wait.Done()
@@ -181,14 +185,15 @@
 	}()
 	time.Sleep(8 * time.Second)
 	if quiet > 0 {
-		f.rec.say("no more sound prompts, orders go on; the first bad one comes in %v", quiet)
+		f.rec.say("from now on a sound prompt comes each %v, orders go on; the first bad one comes in %v", rareTime, quiet)
 		close(endSound)
+		send(rareTime, 0, soundParts, stop)
 		time.Sleep(quiet)
 	}
 	if trouble {
 		send(700*time.Millisecond, 1, func(i int) string {
 			return fmt.Sprintf("aa%02d:200,%s:100,%s:100", i%4, badPart, newID())
-		}, false)
+		}, bad)
 	}
 	time.Sleep(35 * time.Second)
 	close(stop)
