--- a/review/standin3/comments.go
+++ b/review/standin3/comments.go
@@ -10,46 +10,65 @@
 func init() { cases["comments"] = playComments }
 
 const (
-	// usualFirst and slowFirst are the times to the first event, commentTime the time
-	// between two comments that keep the connection open until then.
-	usualFirst  = 500 * time.Millisecond
-	slowFirst   = 2 * time.Second
+	// readTime is how long an engine reads one prompt: the 9,200 tokens of a kit-draft at
+	// 92.1 tokens a ms. It reads one after the other.
+	readTime = 100 * time.Millisecond
+	// commentTime is the time between two comments to a request that waits.
 	commentTime = 250 * time.Millisecond
+	// usualRate is the number of streams a second, hotShare the share of one tenant in
+	// them, and hotFactor by how much that tenant sends more than usual for hotTime.
+	usualRate = 20.0
+	hotShare  = 0.15
+	hotFactor = 7.5
+	hotTime   = 6500 * time.Millisecond
+	// minLeft is how far the client's deadline must be for a cut to count.
+	minLeft = time.Second
 )
 
-// playComments has engines that send comments while a request waits for its first token,
-// and turn slow. A stream whose connection ends without an event was not answered.
+// playComments has sound engines that send comments while a request waits for its prompt to
+// be read, and a tenant that sends many times its usual. A stream whose connection ends
+// without an event was not answered.
 func playComments(f *fleet, trouble bool) (bool, error) {
-	f.st.put("op/config", config(7, map[string][]string{"studio": {"key-one"}}), 0)
+	f.st.put("op/config", config(7, map[string][]string{"studio": {"key-one"}, "hotels": {"key-two"}}), 0)
 	var mu sync.Mutex
-	slow := false
 	dropped := map[string]bool{}
+	longest := time.Duration(0)
+	reading := map[*worker]chan struct{}{}
 	serve := func(c *call) bool {
+		f.rec.printf("worker %s gets %s", c.w.id, c.id)
 		mu.Lock()
-		wait := usualFirst
-		if slow {
-			wait = slowFirst
-		}
+		turn := reading[c.w]
 		mu.Unlock()
-		f.rec.printf("worker %s gets %s, first event in %d ms", c.w.id, c.id, wait.Milliseconds())
 		_, _ = c.conn.Write([]byte(c.head(http.StatusOK, -1, c.seal(map[string]string{"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))))
 		write := func(text string) { _, _ = c.conn.Write([]byte(fmt.Sprintf("%x\r\n%s\r\n", len(text), text))) }
-		first := time.After(wait)
+		leave := func() bool {
+			f.rec.printf("worker %s: connection of %s closed by the router, %d ms after the request, before its first event", c.w.id, c.id, time.Since(c.arrived).Milliseconds())
+			mu.Lock()
+			dropped[c.id] = true
+			mu.Unlock()
+			return false
+		}
 		for waiting := true; waiting; {
-			write(": waiting\n\n")
 			select {
-			case <-time.After(commentTime):
-			case <-first:
+			case turn <- struct{}{}:
 				waiting = false
+			case <-time.After(commentTime):
+				write(": waiting\n\n")
 			case <-c.cancelled:
-				f.rec.printf("worker %s: connection of %s closed by the router before the first event, %d ms after the request", c.w.id, c.id, time.Since(c.arrived).Milliseconds())
-				mu.Lock()
-				dropped[c.id] = true
-				mu.Unlock()
-				return false
+				return leave()
 			}
 		}
-		f.rec.printf("worker %s runs %s", c.w.id, c.id)
+		select {
+		case <-time.After(readTime):
+			<-turn
+		case <-c.cancelled:
+			<-turn
+			return leave()
+		}
+		mu.Lock()
+		longest = max(longest, time.Since(c.arrived))
+		mu.Unlock()
+		f.rec.printf("worker %s runs %s, first event after %d ms", c.w.id, c.id, time.Since(c.arrived).Milliseconds())
 		for e := 1; e <= 7; e++ {
 			write(fmt.Sprintf("id: %d\ndata: tokens %d of %s\n\n", e, e, c.id))
 			select {
@@ -61,10 +80,14 @@
 		_, _ = c.conn.Write([]byte("0\r\n\r\n"))
 		return true
 	}
-	for i := range 9 {
-		if _, err := f.addWorker(fmt.Sprintf("i-drafter%d", i), "drafter", zones[i%3], 64, serve); err != nil {
+	for i := range 3 {
+		w, err := f.addWorker(fmt.Sprintf("i-drafter%d", i), "drafter", zones[i], 64, serve)
+		if err != nil {
 			return false, err
 		}
+		mu.Lock()
+		reading[w] = make(chan struct{}, 1)
+		mu.Unlock()
 	}
 	if err := f.addRouters(3); err != nil {
 		return false, err
@@ -72,47 +95,71 @@
 	if err := f.awaitReady(); err != nil {
 		return false, err
 	}
-	stop := make(chan struct{})
+	// Clients keep their connections. free holds those that are not in use, by router.
+	free := make([][]*client, len(f.routers))
+	complete, refused, cut := 0, 0, 0
 	var wait sync.WaitGroup
-	complete, cut := 0, 0
-	for i := range 12 {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			c := &client{address: f.routers[i%3].front}
-			defer c.close()
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(300 * time.Millisecond):
-				}
-				q := request{id: newID(), method: http.MethodPost, path: "/kit/draft", key: "key-one", deadline: 4 * time.Second, body: []byte("a brief")}
-				q.fields = [][2]string{{"Model", "m"}, {"Token-Usage", "400,49"}, {"Prompt-Prefix", fmt.Sprintf("aa%02d:200,cc%02d:100,%s:100", i%3, (i+n)%40, newID())}}
-				kept := c.conn != nil
-				res := f.do(c, f.routers[i%3], q)
-				mu.Lock()
-				switch {
-				case res.err == nil && res.status == http.StatusOK:
-					complete++
-				case kept && res.err != nil && dropped[q.id] && res.ended.Sub(res.sent) < 3*time.Second:
-					cut++
-					f.rec.printf("request %s on a kept connection: the router closed it without an event, %d ms before the client's deadline", q.id, (q.deadline - res.ended.Sub(res.sent)).Milliseconds())
-				}
-				mu.Unlock()
-			}
-		}()
-	}
-	time.Sleep(5 * time.Second)
-	if trouble {
+	send := func(n int, key string) {
+		defer wait.Done()
+		router := f.routers[n%3]
 		mu.Lock()
-		slow = true
+		c := &client{address: router.front}
+		if list := free[n%3]; len(list) > 0 {
+			c, free[n%3] = list[len(list)-1], list[:len(list)-1]
+		}
 		mu.Unlock()
-		f.rec.say("the engines turn slow")
+		kept := c.conn != nil
+		q := request{id: newID(), method: http.MethodPost, path: "/kit/draft", key: key, deadline: 4 * time.Second, body: []byte("a brief")}
+		q.fields = [][2]string{{"Model", "m"}, {"Token-Usage", "9200,49"}, {"Prompt-Prefix", fmt.Sprintf("aa%02d:2520,%s:6100,%s:580", n%4, newID(), newID())}}
+		res := f.do(c, router, q)
+		left := q.deadline - res.ended.Sub(res.sent)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case res.err == nil && res.status == http.StatusOK:
+			complete++
+		case res.err == nil:
+			refused++
+		case kept && dropped[q.id] && left >= minLeft:
+			cut++
+			f.rec.printf("request %s on a kept connection: the router closed it without an event, %d ms before the client's deadline", q.id, left.Milliseconds())
+		}
+		if c.conn != nil {
+			free[n%3] = append(free[n%3], c)
+		}
+	}
+	begin := time.Now()
+	hotFrom, hotTo := 4*time.Second, 4*time.Second+hotTime
+	usual, hot := 0.0, 0.0
+	for n := 0; time.Since(begin) < 14*time.Second; n++ {
+		time.Sleep(5 * time.Millisecond)
+		at := time.Since(begin)
+		for ; usual < at.Seconds()*usualRate; usual++ {
+			n++
+			key := "key-one"
+			if float64(n%100) < 100*hotShare {
+				key = "key-two"
+			}
+			wait.Add(1)
+			go send(n, key)
+		}
+		if trouble && at > hotFrom && at < hotTo {
+			for ; hot < (at-hotFrom).Seconds()*usualRate*hotShare*(hotFactor-1); hot++ {
+				n++
+				wait.Add(1)
+				go send(n, "key-two")
+			}
+		}
 	}
-	time.Sleep(12 * time.Second)
-	close(stop)
 	wait.Wait()
-	f.rec.say("%d streams complete; on kept connections %d closed without an event, though the engine was at work and the deadline far", complete, cut)
+	mu.Lock()
+	defer mu.Unlock()
+	f.rec.say("%d streams complete, %d refused; longest time to a first event %d ms", complete, refused, longest.Milliseconds())
+	f.rec.say("on kept connections %d closed without an event, though the engine was at work and the deadline at least %v away", cut, minLeft)
+	for _, list := range free {
+		for _, c := range list {
+			c.close()
+		}
+	}
 	return cut > 3, nil
 }
